--- /dev/null
+++ b/merlintally/benchlink/__init__.py
@@ -0,0 +1,1 @@
+"""The adapter between the bench and the decisions in merlintally.choice."""
