--- a/merlintally/choice.py
+++ b/merlintally/choice.py
@@ -42,9 +42,10 @@
 KEEP = 60.0  # seconds a count is kept by name
 PACE = (40.0, 4.0, 400.0)  # counter calls a second: at the start, at the least, at the most
 # Servers and line
-SATURATED = 2.5  # answer times over their own floor from which a server counts as near saturation
-EASY = 1.7  # below this a server that is kept full gets more places
-FIRST_PLACES = 2.0
+SATURATED = 1.8  # answer times over their own floor from which a server counts as near saturation
+EASY = 1.3  # below this a server that is kept full gets more places
+FIRST_PLACES = 4.0  # at each server for all gateways together
+LEAST_PLACES = 0.25  # of one gateway at a server: below 1 only some servers get a piece at a time
 JUDGED = 0.8  # the quantile of answer times by which servers are compared
 CREDIT = (2.0, 0.12)  # further executions a server may get: at most, and earned with each good answer
 PATIENCE = (4.0, 2.0)  # mean answer times before a further execution: at a fair server, at one found slow
@@ -209,10 +210,11 @@
 
     __slots__ = (
         "name", "zone", "cell", "presence", "started", "size", "places", "out", "ratio", "samples", "failing", "resume",
-        "credit", "good", "sent", "slow", "cost", "refusals", "waiting", "waiting_at",
+        "credit", "good", "sent", "slow", "cost", "refusals", "waiting", "waiting_at", "first_places",
     )
 
-    def __init__(self, facts: ServerFacts) -> None:
+    def __init__(self, facts: ServerFacts, first_places: float) -> None:
+        self.first_places = first_places
         self.name, self.zone, self.cell, self.size = facts.server, facts.zone, facts.cell, facts.size
         self.out: dict[tuple[int, int], tuple[float, Lane]] = {}
         self.renew(facts)
@@ -220,22 +222,27 @@
     def renew(self, facts: ServerFacts) -> None:
         """Begin anew: a server that has restarted keeps nothing of its past but what is still out."""
         self.presence, self.started = facts.presence, facts.started
-        self.places, self.ratio, self.failing, self.resume = FIRST_PLACES, 1.0, 0.0, 0.0
+        self.places, self.ratio, self.failing, self.resume = self.first_places, 1.0, 0.0, 0.0
         self.samples = SampleRing(1.0, 6)
         self.good, self.sent = Ring(0.5, 6), Ring(0.25, 20)
         self.credit, self.slow, self.refusals = CREDIT[0], 1.0, 0.0
         self.cost: dict[str, float] = {}
         self.waiting, self.waiting_at = 0.0, -1.0
 
-    def has_place(self, now: float) -> bool:
+    def worth(self, now: float) -> float:
+        """Its places after what is held against it."""
         if self.presence != "on" or now < self.resume:
-            return False
-        return len(self.out) < max(1, int(self.places * (1 - self.failing) / self.slow))
+            return 0.0
+        return self.places * (1 - self.failing) / self.slow
+
+    def has_place(self, now: float) -> bool:
+        worth = self.worth(now)
+        return worth > 0 and len(self.out) < max(1, int(worth))
 
     def expected(self, now: float) -> float:
         """How long the next piece should take here, in floors, with the chance of failing counted in."""
         queued = self.waiting * 0.2 if now - self.waiting_at < 1.0 else 0.0
-        return self.ratio * self.slow * (1 + len(self.out) / self.places + queued) / (1.05 - self.failing) ** 3
+        return self.ratio * self.slow * (1 + len(self.out) / max(1.0, self.places) + queued) / (1.05 - self.failing) ** 3
 
     def answered(self, now: float, lane: Lane, outcome: Outcome, elapsed: float, report: LoadReport | None) -> None:
         """Learn from an execution's end.
@@ -264,10 +271,10 @@
                 self.resume = now + 2 * self.failing
         elif outcome == "full":
             self.refusals += (1 - self.refusals) * 0.1
-            self.places = max(1.0, self.places * 0.7)
+            self.places = max(LEAST_PLACES, self.places * 0.7)
             self.resume = max(self.resume, now + 0.1)
         if self.ratio > SATURATED and outcome in ("ok", "timed_out"):
-            self.places = max(1.0, self.places * 0.94)
+            self.places = max(LEAST_PLACES, self.places * 0.94)
 
     def throttling_ratio(self) -> float | None:
         """Empty while no measure is near saturation; else the part of the present cost that it can serve."""
@@ -288,7 +295,7 @@
                  now: float, time_left: float) -> None:
         self.gateway, self.id, self.lane, self.customer, self.units = gateway, submission, lane, customer, units
         self.taken, self.ends = now, now + time_left - MARGIN
-        self.useful = min(now + lane.quoted_time - lane.mean / 2, self.ends)
+        self.useful = min(now + lane.quoted_time - lane.floor, self.ends)
         self.out: dict[int, tuple[AppServer, float]] = {}
         self.risky: dict[int, tuple[AppServer, float]] = {}  # executions that may have run, or may be running
         self.count = 0
@@ -387,7 +394,7 @@
             named.add(entry.server)
             server = self.servers.get(entry.server)
             if server is None:
-                self.servers[entry.server] = AppServer(entry)
+                self.servers[entry.server] = AppServer(entry, FIRST_PLACES / self.facts.gateways)
             elif entry.started > server.started or (entry.presence == "on" and server.presence == "gone"):
                 server.renew(entry)
             else:
@@ -463,7 +470,7 @@
         inside = customer.inside(units, now)
         if customer.plan.ceiling_rate > 0 and customer.ceiling_part < units:
             return False
-        if self._wait(now, handle.lane) > handle.useful - now - handle.lane.mean:
+        if self._wait(now, handle.lane) > handle.useful - now:
             return False  # what cannot be served in time is refused early
         if not inside:
             if not customer.soft or customer.extra < units or any(queue for _, queue in self.lines):
@@ -556,7 +563,7 @@
         for _, queue in self.lines:
             kept: list[Submission] = []
             while queue:
-                free = [server for server in self.servers.values() if server.has_place(now)]
+                free = self._free(now)
                 if not free or len(kept) > 8:
                     break
                 handle = queue.popleft()
@@ -577,6 +584,13 @@
                         kept.append(handle)
             queue.extendleft(reversed(kept))
 
+    def _free(self, now: float) -> list[AppServer]:
+        """The servers with a free place; none once as much is out as all places together allow."""
+        servers = self.servers.values()
+        if sum(len(server.out) for server in servers) >= max(1.0, sum(server.worth(now) for server in servers)):
+            return []
+        return [server for server in servers if server.has_place(now)]
+
     def _send_best(self, now: float, handle: Submission, free: list[AppServer]) -> bool:
         """Send to the server expected to answer first, of those that may get it."""
         best, lowest = None, float("inf")
@@ -675,8 +689,7 @@
                 continue
             if not self._resend_safe(now, handle):
                 continue
-            free = [other for other in self.servers.values() if other is not server and other.has_place(now)
-                    and other.credit >= 1]
+            free = [other for other in self._free(now) if other is not server and other.credit >= 1]
             if self.facts.parallel:
                 if handle.lane.effect != "one-shot":
                     self._send_best(now, handle, free)
