--- a/merlintally/choice.py
+++ b/merlintally/choice.py
@@ -83,7 +83,7 @@
     __slots__ = (
         "key", "plan", "gateways", "soft", "store", "others", "heard", "at", "requests", "units", "common", "granted",
         "extra", "limiting", "ceiling_part", "ceiling_depth", "untold", "asked", "total", "out", "parked", "seen",
-        "projected", "name",
+        "projected", "name", "silent",
     )
 
     def __init__(self, key: str, plan: PlanFacts, gateways: int, now: float, uptime: float) -> None:
@@ -91,6 +91,7 @@
         self.soft = plan.beyond_gain > plan.beyond_cost
         self.store = plan.burst
         self.others = 0.0
+        self.silent: float | None = None  # since when asking has brought no answer
         self.heard = self.at = self.seen = now
         self.requests, self.units = Ring(FOLD, FOLDS), Ring(FOLD, FOLDS)
         self.common = plan.rate / self.gateways
@@ -121,7 +122,7 @@
 
     def others_rate(self, now: float) -> float:
         """The others' use as last learned; without news it goes over to their part of target / gateways."""
-        unheard = min(1.0, max(0.0, now - self.heard - HEAR) / STALE)
+        unheard = 0.0 if self.silent is None else min(1.0, (now - self.silent) / STALE)
         fair = self.plan.rate * (self.gateways - 1) / self.gateways
         return self.others + (fair - self.others) * unheard
 
@@ -149,7 +150,7 @@
         self.advance(now)
         if self.plan.rate <= 0:
             return self.plan.open_limit > 0
-        unseen = self.others_rate(now) * min(now - self.heard, HEAR) + self.average_cost
+        unseen = self.others_rate(now) * min(now - self.heard, HEAR)
         return self.store >= units + unseen or (self.store >= units and self.granted >= units)
 
     def draw(self, units: float, now: float) -> None:
@@ -195,7 +196,7 @@
             used = total - self.total - added
             self.store = min(self.plan.burst, max(self.store + self.projected - used, -self.average_cost))
             self.others += (used / since - self.others) * min(1.0, since)
-        self.total, self.heard, self.projected = total, now, 0.0
+        self.total, self.heard, self.projected, self.silent = total, now, 0.0, None
 
     def idle(self, now: float) -> bool:
         """Whether forgetting it loses nothing: all stores full again, nothing out, nothing to tell."""
@@ -419,6 +420,8 @@
             # Guard: a slow or silent counter is not made worse. An unanswered add may have counted: it is not told
             # again when answers were merely late, and the next total shows whether it was there.
             self.pace = max(PACE[1], self.pace * 0.7)
+            if customer.silent is None:
+                customer.silent = now
             if outcome != "timed_out":
                 customer.untold += added
                 self.untold[customer.key] = customer
@@ -462,12 +465,15 @@
         if customer is None:
             plan = self.plans.get(plan_name) or PlanFacts(plan_name, 0, 0, 0, 0, 0, 0, 0, 0, 0)  # unknown: no quota
             customer = Customer(key, plan, gateways or self.facts.gateways, now, now - self.started)
+            if not self.facts.may_count:
+                customer.silent = self.started
             self.customers[key] = self.names[customer.name] = customer
         return customer
 
     def _admit(self, now: float, handle: Submission) -> bool:
         customer, units = handle.customer, handle.units
         inside = customer.inside(units, now)
+        self._tell(now, customer)  # also when refused: a stale low store must not refuse for ever
         if customer.plan.ceiling_rate > 0 and customer.ceiling_part < units:
             return False
         if self._wait(now, handle.lane) > handle.useful - now:
