--- a/merlintally/benchlink/codec.py
+++ b/merlintally/benchlink/codec.py
@@ -249,9 +249,7 @@
         except Malformed as wrong:
             raise Malformed(f"line {first + at}: {wrong}") from None
         for name in touched:
-            results = self.nodes[name].gateway.take_results(self.clock)
-            if results is not None:
-                encode(results, name, reply)
+            encode(self.nodes[name].gateway.take_results(self.clock), name, reply)
         reply.append(f"READY serial={serial}")
         return reply
 
--- a/merlintally/choice.py
+++ b/merlintally/choice.py
@@ -1,12 +1,12 @@
-"""Every decision of a gateway that holds customers to their quotas: global tag throttling, with few exceptions.
+"""Every decision of a gateway that holds customers to quotas: global tag throttling, with few exceptions.
 
-How to call it: make one `Gateway(facts, seed, now)` for each edge node. `gateway.take(...)` returns a handle, a
-`Submission`; all that happens to it later is a call on that handle: `ended`, `begun`, `left`. The server list, counter
-answers, peer notes and wake-ups are calls on the gateway: `roster`, `counted`, `noted`, `wake`. Every call is given
-`now` in seconds. What is to be done lies in `gateway.take_results(now)`, in the plain rows of merlintally/interface.py,
-where all types that come in are found too. docs/design.md tells what is kept of the design and when exceptions act.
+How to call it: make one `Gateway(facts, seed, now)` for each edge node. `gateway.take(...)` returns a handle,
+a `Submission`; what happens to it later is a call on that handle: `ended`, `begun`, `left`. The server list,
+counter answers, peer notes and wake-ups are calls on the gateway: `roster`, `counted`, `noted`, `wake`. All
+take `now` in seconds. What is to be done comes from `gateway.take_results(now)`. The types that go in and out
+are in merlintally/interface.py; docs/design.md tells what is kept of the design and when exceptions act.
 
-Order of this file: tuned values, lanes, customers (the throttler), app servers, submissions, the gateway.
+Order: tuned values, lanes, customers (the throttler), app servers, submissions, the gateway.
 """
 
 from __future__ import annotations
@@ -19,8 +19,6 @@
 
 from merlintally.interface import (
     CounterOutcome,
-    Effect,
-    Group,
     LaneFacts,
     LoadReport,
     Outcome,
@@ -32,21 +30,21 @@
 from merlintally.ring import Ring, SampleRing
 
 # Throttler
-FOLD = 0.4  # seconds a bucket of the smoothers; they cover FOLDS of them
-FOLDS = 5
+FOLD, FOLDS = 0.4, 5  # seconds a bucket of the smoothers, and how many they cover
 FIT = 0.25  # seconds between the sums over all customers and servers
 SOFT = 2.0  # total quota over reserved on plans that earn more beyond the quota than it costs
 TELL = 0.15  # own use not yet told, as a part of the modelled store, that is worth a call to the counter
 HEAR = 0.3  # seconds after which a customer short of store asks for news
-STALE = 2.0  # seconds without news after which the others are held to use target / gateways each
+STALE = 2.0  # seconds of silence after which the others are held to use their part of target / gateways
 KEEP = 60.0  # seconds a count is kept by name
 PACE = (40.0, 4.0, 400.0)  # counter calls a second: at the start, at the least, at the most
 # Servers and line
-SATURATED = 1.8  # answer times over their own floor from which a server counts as near saturation
+SATURATED = 1.8  # answer times over their floor from which a server counts as near saturation
 EASY = 1.3  # below this a server that is kept full gets more places
 FIRST_PLACES = 4.0  # at each server for all gateways together
 LEAST_PLACES = 0.25  # of one gateway at a server: below 1 only some servers get a piece at a time
 JUDGED = 0.8  # the quantile of answer times by which servers are compared
+TRIAL = 1.0  # seconds between pieces for a server that is held to be too slow for them
 CREDIT = (2.0, 0.12)  # further executions a server may get: at most, and earned with each good answer
 PATIENCE = (4.0, 2.0)  # mean answer times before a further execution: at a fair server, at one found slow
 COLD_SAFETY = 0.6  # part of the stated budget of a cold server that is used
@@ -58,88 +56,70 @@
 class Lane:
     """A row of the lane table: what the start facts say of a lane, and its measured answer time."""
 
-    __slots__ = ("quoted_time", "gain", "late_gain", "effect", "group", "remembered", "mean", "floor", "answers")
-
     def __init__(self, facts: LaneFacts) -> None:
         self.quoted_time, self.gain, self.late_gain = facts.quoted_time, facts.gain, facts.late_gain
-        self.effect: Effect = facts.effect
-        self.group: Group = facts.discard_group
-        self.remembered = facts.remembered
+        self.effect, self.group, self.remembered = facts.effect, facts.discard_group, facts.remembered
         self.mean = self.floor = facts.quoted_time / 6
         self.answers = 0
 
     def learn(self, elapsed: float) -> None:
-        """Follow the mean answer time quickly and its floor slowly, so that a slow hour does not become the floor."""
+        """Follow the mean answer time quickly and its floor slowly: a slow spell must not become the floor."""
         self.answers += 1
         self.mean += (elapsed - self.mean) / min(self.answers, 40)
-        if self.answers < 40:
-            self.floor = self.mean
-        self.floor = min(self.mean, self.floor + (self.mean - self.floor) * 0.0005)
+        drifted = self.floor + (self.mean - self.floor) * 0.0005
+        self.floor = self.mean if self.answers < 40 else min(self.mean, drifted)
 
 
 class Customer:
     """The throttler's sums for one customer, as far as this gateway can know them."""
 
-    __slots__ = (
-        "key", "plan", "gateways", "soft", "store", "others", "heard", "at", "requests", "units", "common", "granted",
-        "extra", "limiting", "ceiling_part", "ceiling_depth", "untold", "asked", "total", "out", "parked", "seen",
-        "projected", "name", "silent",
-    )
-
     def __init__(self, key: str, plan: PlanFacts, gateways: int, now: float, uptime: float) -> None:
         self.key, self.plan, self.gateways = key, plan, max(1, gateways)
+        self.name = int.from_bytes(hashlib.blake2b(key.encode(), digest_size=7).digest(), "big")
         self.soft = plan.beyond_gain > plan.beyond_cost
-        self.store = plan.burst
-        self.others = 0.0
-        self.silent: float | None = None  # since when asking has brought no answer
+        self.store, self.limiting = plan.burst, float("inf")
+        self.others = self.untold = self.projected = self.granted = self.extra = 0.0
         self.heard = self.at = self.seen = now
+        self.silent: float | None = None  # since when asking the counter has brought no answer
+        self.asked: float | None = None  # amount of the add that is on its way
+        self.total: float | None = None  # the counter's last answer
         self.requests, self.units = Ring(FOLD, FOLDS), Ring(FOLD, FOLDS)
         self.common = plan.rate / self.gateways
-        self.granted = self.extra = 0.0
-        self.limiting = float("inf")
-        # Guard for restarts: a part of the ceiling fills from empty since this gateway's start, never from full.
-        self.ceiling_depth = plan.ceiling_burst / self.gateways
-        self.ceiling_part = min(self.ceiling_depth, plan.ceiling_rate / self.gateways * uptime)
-        self.untold = self.projected = 0.0
-        self.asked: float | None = None
-        self.total: float | None = None
+        # Guards restarts: a part of the ceiling fills from empty since this gateway's start, never from full.
+        self.part_depth, self.part_rate = plan.ceiling_burst / self.gateways, plan.ceiling_rate / self.gateways
+        self.part = min(self.part_depth, self.part_rate * uptime)
         self.out = 0
         self.parked: deque[Submission] = deque()
-        self.name = int.from_bytes(hashlib.blake2b(key.encode(), digest_size=7).digest(), "big")
 
     @property
     def average_cost(self) -> float:
-        """Smoothed units a request."""
         requests = self.requests.total(self.at)
         return self.units.total(self.at) / requests if requests > 0 else 1.0
 
     @property
     def target(self) -> float:
-        """target = max(reserved, min(desired, limiting)), in units a second."""
+        """In units a second."""
         reserved = self.plan.rate
         desired = reserved * SOFT if self.soft else reserved
         return max(reserved, min(desired, self.limiting))
 
     def others_rate(self, now: float) -> float:
-        """The others' use as last learned; without news it goes over to their part of target / gateways."""
-        unheard = 0.0 if self.silent is None else min(1.0, (now - self.silent) / STALE)
-        fair = self.plan.rate * (self.gateways - 1) / self.gateways
-        return self.others + (fair - self.others) * unheard
+        """The others' use as last learned; in silence it goes over to their part of target / gateways."""
+        silence = 0.0 if self.silent is None else min(1.0, (now - self.silent) / STALE)
+        return self.others + (self.plan.rate * (1 - 1 / self.gateways) - self.others) * silence
 
     def advance(self, now: float) -> None:
         """Let the modelled stores fill, and the others draw as projected."""
-        passed = now - self.at
+        passed, self.at = now - self.at, now
         if passed <= 0:
             return
-        self.at = now
         drawn = self.others_rate(now) * passed
         self.projected += drawn
         self.store = min(self.plan.burst, self.store + self.plan.rate * passed - drawn)
-        self.granted = min(self.granted + self.common * passed, max(2 * self.average_cost, self.common * 0.5))
-        spare = max(0.0, self.target - self.plan.rate) / self.gateways
-        self.extra = min(self.extra + spare * passed, max(2 * self.average_cost, spare))
-        part_rate = self.plan.ceiling_rate / self.gateways
-        self.ceiling_part = min(self.ceiling_depth, self.ceiling_part + part_rate * passed)
+        cost, spare = self.average_cost, max(0.0, self.target - self.plan.rate) / self.gateways
+        self.granted = min(self.granted + self.common * passed, max(2 * cost, self.common * 0.5))
+        self.extra = min(self.extra + spare * passed, max(2 * cost, spare))
+        self.part = min(self.part_depth, self.part + self.part_rate * passed)
 
     def inside(self, units: float, now: float) -> bool:
         """Whether the quota has room: the burst store lies under the common rate.
@@ -151,7 +131,7 @@
         if self.plan.rate <= 0:
             return self.plan.open_limit > 0
         unseen = self.others_rate(now) * min(now - self.heard, HEAR)
-        return self.store >= units + unseen or (self.store >= units and self.granted >= units)
+        return self.store >= units + (0.0 if self.granted >= units else unseen)
 
     def draw(self, units: float, now: float) -> None:
         self.seen = now
@@ -162,31 +142,28 @@
         self.units.add(now, units)
 
     def settle(self, difference: float) -> None:
-        """Correct the quota's store by what an answer says was really used; the ceiling goes by the guess."""
+        """Correct the quota's store by what was really used; the ceiling goes by the guess."""
         self.store = min(self.plan.burst, self.store - difference)
         self.untold += difference
 
     def fit(self, now: float) -> None:
-        """Move the common rate until summed use meets the target; a calm gateway is never below its even part."""
+        """Move the common rate until summed use meets the target; a calm gateway keeps its even part."""
         self.advance(now)
-        target = self.target
         summed = self.units.rate(now) + self.others_rate(now)
-        step = min(1.25, max(0.8, target / summed)) if summed > 0 else 1.25
-        self.common = min(target, max(target / self.gateways, self.common * step))
+        step = min(1.25, max(0.8, self.target / summed)) if summed > 0 else 1.25
+        self.common = min(self.target, max(self.target / self.gateways, self.common * step))
 
     def room_out(self, now: float, answer_time: float) -> bool:
-        """The cap on executions out at once: the limit less what the others are held to have out, or the even part."""
+        """The cap on executions out at once: less what the others are held to have out, or the even part."""
         limit = self.plan.open_limit
-        if not limit:
-            return True
         others = self.others_rate(now) / max(self.average_cost, 0.1) * answer_time
-        return self.out < max(1, int(max(limit - others, limit / self.gateways)))
+        return not limit or self.out < max(1, int(max(limit - others, limit / self.gateways)))
 
     def news(self, total: float, added: float, now: float, uptime: float) -> None:
         """Take the counter's total after `added`; what is not ours since the last answer is the others' use.
 
-        Guards against a count that began anew (expired, or a counter that came back empty): a total below what must
-        be there is no low use. What was projected then stands, and the rate with it.
+        Guards against a count that began anew (expired, or a counter that came back empty): a total below what
+        must be there is no low use. What was projected then stands, and the rate with it.
         """
         self.advance(now)
         since = max(now - self.heard, 0.02)
@@ -199,36 +176,29 @@
         self.total, self.heard, self.projected, self.silent = total, now, 0.0, None
 
     def idle(self, now: float) -> bool:
-        """Whether forgetting it loses nothing: all stores full again, nothing out, nothing to tell."""
-        refill = self.plan.burst / self.plan.rate if self.plan.rate > 0 else 1.0
-        part = self.ceiling_depth * self.gateways / self.plan.ceiling_rate if self.plan.ceiling_rate > 0 else 0.0
-        quiet = now - self.seen > 2.0 + max(refill * self.gateways, part)
-        return quiet and not self.out and not self.parked and self.asked is None
+        """Whether forgetting it loses nothing: all stores full again, nothing out or on its way."""
+        refill = self.plan.burst / self.plan.rate * self.gateways if self.plan.rate > 0 else 1.0
+        part = self.part_depth / self.part_rate if self.part_rate > 0 else 0.0
+        return now - self.seen > 2.0 + max(refill, part) and not (self.out or self.parked or self.asked is not None)
 
 
 class AppServer:
     """What this gateway has seen of one app server."""
 
-    __slots__ = (
-        "name", "zone", "cell", "presence", "started", "size", "places", "out", "ratio", "samples", "failing", "resume",
-        "credit", "good", "sent", "slow", "cost", "refusals", "waiting", "waiting_at", "first_places",
-    )
-
     def __init__(self, facts: ServerFacts, first_places: float) -> None:
-        self.first_places = first_places
-        self.name, self.zone, self.cell, self.size = facts.server, facts.zone, facts.cell, facts.size
+        self.name, self.zone, self.cell, self.first_places = facts.server, facts.zone, facts.cell, first_places
         self.out: dict[tuple[int, int], tuple[float, Lane]] = {}
         self.renew(facts)
 
     def renew(self, facts: ServerFacts) -> None:
         """Begin anew: a server that has restarted keeps nothing of its past but what is still out."""
         self.presence, self.started = facts.presence, facts.started
-        self.places, self.ratio, self.failing, self.resume = self.first_places, 1.0, 0.0, 0.0
-        self.samples = SampleRing(1.0, 6)
-        self.good, self.sent = Ring(0.5, 6), Ring(0.25, 20)
-        self.credit, self.slow, self.refusals = CREDIT[0], 1.0, 0.0
+        self.places, self.ratio, self.slow = self.first_places, 1.0, 1.0
+        self.failing = self.resume = self.refusals = self.waiting = 0.0
+        self.waiting_at = self.sent_at = -1.0
+        self.samples, self.good, self.sent = SampleRing(1.0, 6), Ring(0.5, 6), Ring(0.25, 20)
+        self.credit = CREDIT[0]
         self.cost: dict[str, float] = {}
-        self.waiting, self.waiting_at = 0.0, -1.0
 
     def worth(self, now: float) -> float:
         """Its places after what is held against it."""
@@ -243,13 +213,14 @@
     def expected(self, now: float) -> float:
         """How long the next piece should take here, in floors, with the chance of failing counted in."""
         queued = self.waiting * 0.2 if now - self.waiting_at < 1.0 else 0.0
-        return self.ratio * self.slow * (1 + len(self.out) / max(1.0, self.places) + queued) / (1.05 - self.failing) ** 3
+        crowd = 1 + len(self.out) / max(1.0, self.places) + queued
+        return self.ratio * self.slow * crowd / (1.05 - self.failing) ** 3
 
     def answered(self, now: float, lane: Lane, outcome: Outcome, elapsed: float, report: LoadReport | None) -> None:
         """Learn from an execution's end.
 
-        Guards against fast failures that attract work, and servers that are dead but listed: each failure keeps new
-        work away for longer the larger the failing share, so that single pieces try it again. It would harm if all
+        Guards against fast failures that attract work, and servers dead but listed: each failure keeps work
+        away for longer the larger the failing share, so that single pieces try it again. It would harm if all
         failed at once; then the line waits for the pauses to end.
         """
         if report and "waiting" in report:
@@ -258,6 +229,8 @@
         if outcome in ("ok", "timed_out") or (outcome == "withdrawn" and relative > self.ratio):
             self.samples.add(now, relative)
             self.ratio += (relative - self.ratio) * 0.12
+            if self.ratio > SATURATED:
+                self.places = max(LEAST_PLACES, self.places * 0.94)
         if outcome == "ok":
             lane.learn(elapsed)
             self.good.add(now, 1.0)
@@ -274,8 +247,6 @@
             self.refusals += (1 - self.refusals) * 0.1
             self.places = max(LEAST_PLACES, self.places * 0.7)
             self.resume = max(self.resume, now + 0.1)
-        if self.ratio > SATURATED and outcome in ("ok", "timed_out"):
-            self.places = max(LEAST_PLACES, self.places * 0.94)
 
     def throttling_ratio(self) -> float | None:
         """Empty while no measure is near saturation; else the part of the present cost that it can serve."""
@@ -287,17 +258,12 @@
 class Submission:
     """The handle of one taken submission."""
 
-    __slots__ = (
-        "gateway", "id", "lane", "customer", "units", "taken", "ends", "useful", "out", "count", "risky", "closed",
-        "beyond", "streaming",
-    )
-
-    def __init__(self, gateway: Gateway, submission: int, lane: Lane, customer: Customer, units: float,
-                 now: float, time_left: float) -> None:
+    def __init__(self, gateway: Gateway, submission: int, lane: Lane, customer: Customer, units: float, now: float,
+                 time_left: float) -> None:
         self.gateway, self.id, self.lane, self.customer, self.units = gateway, submission, lane, customer, units
         self.taken, self.ends = now, now + time_left - MARGIN
         self.useful = min(now + lane.quoted_time - lane.floor, self.ends)
-        self.out: dict[int, tuple[AppServer, float]] = {}
+        self.out: dict[int, AppServer] = {}
         self.risky: dict[int, tuple[AppServer, float]] = {}  # executions that may have run, or may be running
         self.count = 0
         self.closed = self.beyond = self.streaming = False
@@ -310,21 +276,19 @@
     def ended(self, now: float, number: int, outcome: Outcome, elapsed: float, over: bool, actual: float = 0.0,
               report: LoadReport | None = None) -> None:
         """An execution has ended; `over` says that the submission has its final answer."""
-        execution = self.out.pop(number, None)
-        if execution is None:
+        server, gateway = self.out.pop(number, None), self.gateway
+        if server is None:
             return
-        server, gateway = execution[0], self.gateway
         server.out.pop((self.id, number), None)
         self.customer.out -= 1
         server.answered(now, self.lane, outcome, elapsed, report)
         if outcome in NEVER_RAN:
             self.risky.pop(number, None)
-        if actual:
+        if actual and not self.beyond:
             self.customer.settle(actual - self.units)
             gateway.untold[self.customer.key] = self.customer
-        if over and not self.closed:
-            self.closed = True
-            gateway.close(self)
+        if over:
+            self.left(now)
         if not self.closed and not self.out:
             gateway.again(now, self)
         gateway.pull(now)
@@ -334,25 +298,29 @@
         self.streaming = True
 
     def left(self, now: float) -> None:
-        """The client is gone, nothing is owed any more."""
+        """The client has its answer or is gone: nothing is owed any more."""
         if not self.closed:
             self.closed = True
             self.gateway.close(self)
 
     def may_bounce(self) -> bool:
         """Rule 2 for bounces: a retry must be safe."""
+        lane = self.lane
+        return not self.risky or lane.effect == "harmless" or (lane.effect == "stamped" and lane.group == "all")
+
+    def may_repeat(self, now: float) -> bool:
+        """Rule 2 for a further execution, but for the server it goes to."""
         if not self.risky or self.lane.effect == "harmless":
             return True
-        return self.lane.effect == "stamped" and self.lane.group == "all"
+        first = next(iter(self.risky.values()))[1]
+        return self.lane.effect == "stamped" and now - first < self.lane.remembered - MARGIN
 
 
 class Gateway:
     """One edge node's decisions."""
 
     def __init__(self, facts: StartFacts, seed: int, now: float) -> None:
-        self.facts = facts
-        self.random = random.Random(seed)
-        self.started = now
+        self.facts, self.random = facts, random.Random(seed)
         self.lanes = {row.name: Lane(row) for row in facts.lanes}
         self.plans = {plan.name: plan for plan in facts.plans}
         self.customers: dict[str, Customer] = {}
@@ -364,11 +332,9 @@
         self.lines: list[tuple[Lane | None, deque[Submission]]] = [(lane, deque()) for lane in order]
         self.lines.append((None, deque()))  # beyond the quota: only when nobody inside waits
         self.open: dict[int, Submission] = {}
-        self.pulls = Ring(0.25, 6)
+        self.pulls, self.fellow_rate = Ring(0.25, 6), 0.0
         self.pace = self.calls = PACE[0]
-        self.paced_at = now
-        self.fitted = self.swept = now
-        self.fellow_rate = 0.0
+        self.started = self.paced_at = self.fitted = self.swept = now
         self.woken = False
         self.results = Results()
 
@@ -377,7 +343,8 @@
     def take(self, now: float, submission: int, lane_name: str, key: str, plan_name: str, time_left: float,
              units: float, gateways: int) -> Submission:
         """Take a submission: admit it to the line, or refuse it at once."""
-        lane = self.lanes.get(lane_name) or Lane(LaneFacts(lane_name, time_left, time_left, 0, 0, "one-shot", "cell", 0))
+        unknown = LaneFacts(lane_name, time_left, time_left, 0, 0, "one-shot", "cell", 0)
+        lane = self.lanes.get(lane_name) or Lane(unknown)
         customer = self._customer(now, key, plan_name, gateways)
         handle = Submission(self, submission, lane, customer, units, now, time_left)
         if time_left <= MARGIN or not self._admit(now, handle):
@@ -390,47 +357,41 @@
 
     def roster(self, now: float, entries: Iterable[ServerFacts], complete: bool) -> None:
         """Follow the server list; a server absent from a complete list is gone."""
-        named = set()
+        if complete:
+            for server in self.servers.values():
+                server.presence = "gone"
         for entry in entries:
-            named.add(entry.server)
-            server = self.servers.get(entry.server)
-            if server is None:
-                self.servers[entry.server] = AppServer(entry, FIRST_PLACES / self.facts.gateways)
-            elif entry.started > server.started or (entry.presence == "on" and server.presence == "gone"):
+            server = self.servers.setdefault(entry.server, AppServer(entry, FIRST_PLACES / self.facts.gateways))
+            if entry.started > server.started:
                 server.renew(entry)
-            else:
-                server.presence = entry.presence
-        if complete:
-            for name, server in self.servers.items():
-                if name not in named:
-                    server.presence = "gone"
+            server.presence = entry.presence
         self.pull(now)
 
     def counted(self, now: float, name: int, outcome: CounterOutcome, total: float, elapsed: float) -> None:
-        """The counter has answered an add, or has not in time."""
+        """The counter has answered an add, or has not in time.
+
+        Guards a slow, refusing or silent counter against being made worse, by the pace of calls.
+        """
         customer = self.names.get(name)
         if customer is None or customer.asked is None:
             return
         added, customer.asked = customer.asked, None
+        slow = outcome == "ok" and elapsed > 0.5 * self.facts.count_time_out
         if outcome == "ok":
             customer.news(total, added, now, now - self.started)
-            slow = elapsed > 0.5 * self.facts.count_time_out
             self.pace = max(PACE[1], self.pace * 0.95) if slow else min(PACE[2], self.pace + 1.0)
-        else:
-            # Guard: a slow or silent counter is not made worse. An unanswered add may have counted: it is not told
-            # again when answers were merely late, and the next total shows whether it was there.
-            self.pace = max(PACE[1], self.pace * 0.7)
-            if customer.silent is None:
-                customer.silent = now
-            if outcome != "timed_out":
-                customer.untold += added
-                self.untold[customer.key] = customer
+            return
+        self.pace = max(PACE[1], self.pace * 0.7)
+        customer.silent = now if customer.silent is None else customer.silent
+        if outcome != "timed_out":  # an add without an answer may have counted and is not told again
+            customer.untold += added
+            self.untold[customer.key] = customer
 
     def noted(self, now: float, peer: int, payload: bytes) -> None:
         """A note from another gateway; none are sent yet, and what comes is ignored."""
 
     def wake(self, now: float) -> None:
-        """Time has passed: expire, fit, judge, tell, and send what can be sent."""
+        """Time has passed: fit, judge, expire, hurry, tell, and send what can be sent."""
         self.woken = False
         if now - self.fitted >= FIT:
             self.fitted = now
@@ -441,8 +402,7 @@
         if now - self.swept >= 1.0:
             self.swept = now
             for key in [key for key, customer in self.customers.items() if customer.idle(now)]:
-                gone = self.customers.pop(key)
-                self.names.pop(gone.name, None)
+                self.names.pop(self.customers.pop(key).name, None)
                 self.untold.pop(key, None)
         self._expire(now)
         self._hurry(now)
@@ -450,7 +410,7 @@
         for customer in list(self.untold.values()):
             self._tell(now, customer)
 
-    def take_results(self, now: float) -> Results | None:
+    def take_results(self, now: float) -> Results:
         """What is to be done since the last time; always leaves a wake-up set."""
         if not self.woken:
             self.woken = True
@@ -458,12 +418,12 @@
         results, self.results = self.results, Results()
         return results
 
-    # Admission
+    # Admission and the counter
 
     def _customer(self, now: float, key: str, plan_name: str, gateways: int) -> Customer:
         customer = self.customers.get(key)
         if customer is None:
-            plan = self.plans.get(plan_name) or PlanFacts(plan_name, 0, 0, 0, 0, 0, 0, 0, 0, 0)  # unknown: no quota
+            plan = self.plans.get(plan_name) or PlanFacts(plan_name, 0, 0, 0, 0, 0, 0, 0, 0, 0)  # no quota
             customer = Customer(key, plan, gateways or self.facts.gateways, now, now - self.started)
             if not self.facts.may_count:
                 customer.silent = self.started
@@ -473,28 +433,20 @@
     def _admit(self, now: float, handle: Submission) -> bool:
         customer, units = handle.customer, handle.units
         inside = customer.inside(units, now)
-        self._tell(now, customer)  # also when refused: a stale low store must not refuse for ever
-        if customer.plan.ceiling_rate > 0 and customer.ceiling_part < units:
+        self._tell(now, customer)  # also when refused: a store held low by old news must not refuse for ever
+        if customer.part_rate > 0 and customer.part < units:
             return False
-        if self._wait(now, handle.lane) > handle.useful - now:
+        ahead = sum(len(queue) for other, queue in self.lines if other and other.gain >= handle.lane.gain)
+        if ahead and ahead / max(self.pulls.rate(now), 1.0) > handle.useful - now:
             return False  # what cannot be served in time is refused early
-        if not inside:
-            if not customer.soft or customer.extra < units or any(queue for _, queue in self.lines):
-                return False
+        if inside:
+            customer.draw(units, now)
+            self.untold[customer.key] = customer
+            self._tell(now, customer)
+        elif customer.soft and customer.extra >= units and not any(queue for _, queue in self.lines):
             customer.extra -= units
             handle.beyond = True
-            return True
-        customer.draw(units, now)
-        self.untold[customer.key] = customer
-        self._tell(now, customer)
-        return True
-
-    def _wait(self, now: float, lane: Lane) -> float:
-        """How long a piece of this lane would wait in line, from the pace of late."""
-        ahead = sum(len(queue) for other, queue in self.lines if other and other.gain >= lane.gain)
-        if not ahead:
-            return 0.0
-        return ahead / max(self.pulls.rate(now), 1.0)
+        return inside or handle.beyond
 
     def _tell(self, now: float, customer: Customer) -> None:
         """Tell the counter of own use when it matters to the others, or ask when the store is short."""
@@ -505,12 +457,11 @@
             return
         self.calls = min(self.pace * 0.25 + 1, self.calls + (now - self.paced_at) * self.pace)
         self.paced_at = now
-        if self.calls < 1:
-            return
-        self.calls -= 1
-        customer.asked, customer.untold = customer.untold, 0.0
-        self.untold.pop(customer.key, None)
-        self.results.adds.append((customer.name, customer.asked, KEEP))
+        if self.calls >= 1:
+            self.calls -= 1
+            customer.asked, customer.untold = customer.untold, 0.0
+            self.untold.pop(customer.key, None)
+            self.results.adds.append((customer.name, customer.asked, KEEP))
 
     # Final answers
 
@@ -518,45 +469,39 @@
         """End a submission: a bounce where a retry is safe, else given up."""
         handle.closed = True
         if handle.may_bounce():
-            self.results.bounced.append((handle.id, self._come_back(now, handle)))
+            self.results.bounced.append((handle.id, self._come_back(handle)))
         else:
             self.results.given_up.append(handle.id)
         self.close(handle)
 
-    def _come_back(self, now: float, handle: Submission) -> float:
+    def _come_back(self, handle: Submission) -> float:
         """When a retry may do better: when the store holds the units again."""
-        customer = handle.customer
+        customer, limit = handle.customer, self.facts.retry_after_limit
         lacking = handle.units - max(0.0, min(customer.store, customer.granted))
-        rate = max(customer.common, customer.plan.rate / customer.gateways)
-        wait = lacking / rate if lacking > 0 and rate > 0 else self.facts.retry_after_limit / 4
-        return min(self.facts.retry_after_limit, max(0.05, wait)) if self.facts.retry_after_limit else 0.0
+        wait = lacking / customer.common if lacking > 0 and customer.common > 0 else limit / 4
+        return min(limit, max(0.05, wait)) if limit else 0.0
 
     def close(self, handle: Submission) -> None:
         """Forget a submission that has its final answer, and call off what is still out for it."""
+        customer = handle.customer
         if self.open.pop(handle.id, None) and not handle.count and not handle.beyond:
-            handle.customer.settle(-handle.units)  # never sent on: the store keeps its units
+            customer.settle(-handle.units)  # never sent on: the store keeps its units
         if self.facts.may_withdraw and not handle.streaming:
             self.results.withdrawn.extend((handle.id, number) for number in handle.out)
-        customer = handle.customer
         if customer.parked:
             self._queue(customer.parked.popleft(), True)
 
     def again(self, now: float, handle: Submission) -> None:
         """An execution failed and none is out: one more where that can still help, else the final answer."""
-        late = now > handle.useful and (handle.lane.late_gain <= 0 or now + handle.lane.mean > handle.ends)
-        if late or now >= handle.ends or handle.count >= self.facts.most_executions or not self._resend_safe(now, handle):
+        lane = handle.lane
+        late = now > handle.useful and (lane.late_gain <= 0 or now + lane.floor > handle.ends)
+        spent = now >= handle.ends or handle.count >= self.facts.most_executions
+        if late or spent or not handle.may_repeat(now):
             self.finish(now, handle)
         else:
-            handle.useful = max(handle.useful, min(now + handle.lane.mean, handle.ends))
+            handle.useful = max(handle.useful, min(now + lane.mean, handle.ends))
             self._queue(handle, True)
 
-    def _resend_safe(self, now: float, handle: Submission) -> bool:
-        if not handle.risky or handle.lane.effect == "harmless":
-            return True
-        if handle.lane.effect == "one-shot":
-            return False
-        return now - next(iter(handle.risky.values()))[1] < handle.lane.remembered - MARGIN
-
     # Line and servers
 
     def _queue(self, handle: Submission, first: bool) -> None:
@@ -568,23 +513,18 @@
         """App servers with a free place get the next pieces of the line."""
         for _, queue in self.lines:
             kept: list[Submission] = []
-            while queue:
-                free = self._free(now)
-                if not free or len(kept) > 8:
-                    break
+            while queue and len(kept) < 8 and (free := self._free(now)):
                 handle = queue.popleft()
                 customer = handle.customer
                 if handle.closed or handle.out:
                     continue
                 if now >= handle.useful:
                     self.finish(now, handle)
-                    continue
-                if not handle.count and not customer.room_out(now, handle.lane.mean):
+                elif not handle.count and not customer.room_out(now, handle.lane.mean):
                     customer.parked.append(handle)
                     self.holding[customer.key] = customer
-                    continue
-                if not self._send_best(now, handle, free):
-                    if not handle.count and customer.plan.ceiling_rate > 0 and customer.ceiling_part < handle.units:
+                elif not self._send_best(now, handle, free):
+                    if not handle.count and customer.part_rate > 0 and customer.part < handle.units:
                         self.finish(now, handle)
                     else:
                         kept.append(handle)
@@ -598,41 +538,47 @@
         return [server for server in servers if server.has_place(now)]
 
     def _send_best(self, now: float, handle: Submission, free: list[AppServer]) -> bool:
-        """Send to the server expected to answer first, of those that may get it."""
+        """Send to the server expected to answer first, of those that may get it.
+
+        Guards against servers too slow for the time left: they get a piece now and then, to be seen recovering.
+        """
         best, lowest = None, float("inf")
-        crossing = self.facts.cross_zone_price * 4
         tried = {server.name for server, _ in handle.risky.values()}
+        left = handle.taken + handle.lane.quoted_time - now
         for server in free:
             if handle.count and (server.credit < 1 or (server.name in tried and len(free) > 1)):
                 continue
-            expected = server.expected(now) + (crossing if server.zone != self.facts.zone else 0.0)
+            if server.ratio * handle.lane.floor > left and now - server.sent_at < TRIAL:
+                continue
+            expected = server.expected(now)
+            expected += self.facts.cross_zone_price * 4 if server.zone != self.facts.zone else 0.0
             expected *= 1 + 0.05 * self.random.random()
             if expected < lowest and self._may_send(now, handle, server) is None:
                 best, lowest = server, expected
-        if best is None:
-            return False
-        self._send(now, handle, best)
-        return True
+        if best is not None:
+            self._send(now, handle, best)
+        return best is not None
 
     def _may_send(self, now: float, handle: Submission, server: AppServer) -> str | None:
         """All rules, for every send: the name of the one that forbids it, or None."""
-        if handle.closed or now >= handle.ends or handle.count >= self.facts.most_executions:
+        lane, facts, customer = handle.lane, self.facts, handle.customer
+        if handle.closed or now >= handle.ends or handle.count >= facts.most_executions:
             return "one final answer"
-        if handle.out and not self.facts.parallel:
+        if handle.out and not facts.parallel:
             return "one execution at a time"
-        if not self._resend_safe(now, handle):
+        if not handle.may_repeat(now):
             return "no effect twice"
-        if handle.risky and handle.lane.effect == "stamped" and handle.lane.group != "all":
+        if lane.effect == "stamped" and lane.group != "all":
             for other, _ in handle.risky.values():
-                if other.zone != server.zone or (handle.lane.group == "cell" and other.cell != server.cell):
+                if other.zone != server.zone or (lane.group == "cell" and other.cell != server.cell):
                     return "no effect twice"
         if server.presence != "on":
             return "drains"
-        if server.started > 0 and now - server.started < self.facts.warm_within and not self._cold_room(now, server):
+        if server.started > 0 and now - server.started < facts.warm_within and not self._cold_room(now, server):
             return "cold server"
-        if not handle.count and handle.customer.plan.ceiling_rate > 0:
-            handle.customer.advance(now)
-            if handle.customer.ceiling_part < handle.units:
+        if not handle.count and customer.part_rate > 0:
+            customer.advance(now)
+            if customer.part < handle.units:
                 return "ceiling"
         return None
 
@@ -651,19 +597,20 @@
         number, customer = handle.count, handle.customer
         if number:
             server.credit -= 1
-        elif customer.plan.ceiling_rate > 0:
-            customer.ceiling_part -= handle.units
+        elif customer.part_rate > 0:
+            customer.part -= handle.units
         handle.count += 1
-        handle.out[number] = handle.risky[number] = (server, now)
+        handle.out[number], handle.risky[number] = server, (server, now)
         server.out[(handle.id, number)] = (now, handle.lane)
         server.sent.add(now, 1.0)
+        server.sent_at = now
         server.cost[customer.key] = server.cost.get(customer.key, 0.0) + handle.units
         customer.out += 1
         self.pulls.add(now, 1.0)
         self.results.sends.append((handle.id, server.name, 0.0))
 
     def _expire(self, now: float) -> None:
-        """End early what waits and can no longer be in time, and let parked pieces go on when there is room."""
+        """End early what waits and can no longer be in time; parked pieces of any lane too."""
         for key, customer in list(self.holding.items()):
             for handle in [handle for handle in customer.parked if now >= handle.useful and not handle.closed]:
                 self.finish(now, handle)
@@ -676,80 +623,68 @@
         for _, queue in self.lines:
             for handle in [handle for handle in queue if now >= handle.useful and not handle.closed]:
                 self.finish(now, handle)
-            while queue and queue[0].closed:
-                queue.popleft()
 
     def _hurry(self, now: float) -> None:
         """Give a late execution a further one elsewhere while that can still be in time.
 
-        Guards against servers that stall, slow down, or accept and never answer. Harm: when all are slow at once it
-        would add work, so credit bounds it and lateness is measured by the present mean.
+        Guards against servers that stall, slow down, or accept and never answer. Harm: when all are slow at once
+        it would add work, so credit bounds it and lateness is measured by the present mean.
         """
+        facts = self.facts
         for handle in list(self.open.values()):
-            if len(handle.out) != 1 or handle.streaming or handle.count >= self.facts.most_executions:
+            lane = handle.lane
+            if len(handle.out) != 1 or handle.streaming or handle.count >= facts.most_executions:
                 continue
-            (number, (server, sent)), = handle.out.items()
-            mean = handle.lane.mean
-            late = now - sent > mean * PATIENCE[server.slow > 1.5]
-            if not late or now + mean > handle.taken + handle.lane.quoted_time or now + mean > handle.ends:
+            (number, server), = handle.out.items()
+            late = now - handle.risky[number][1] > lane.mean * PATIENCE[server.slow > 1.5]
+            if not late or now + lane.mean > min(handle.taken + lane.quoted_time, handle.ends):
                 continue
-            if not self._resend_safe(now, handle):
+            if lane.effect == "one-shot" or not handle.may_repeat(now):
                 continue
             free = [other for other in self._free(now) if other is not server and other.credit >= 1]
-            if self.facts.parallel:
-                if handle.lane.effect != "one-shot":
-                    self._send_best(now, handle, free)
-            elif free and self.facts.may_withdraw and handle.lane.effect != "one-shot":
+            if facts.parallel:
+                self._send_best(now, handle, free)
+            elif free and facts.may_withdraw:
                 self.results.withdrawn.append((handle.id, number))
 
     def _judge(self, now: float) -> None:
         """Judge each server by a high quantile of its answer times against its fellows'.
 
-        What is out for longer counts as a sample already, so a server that accepts and never answers is seen. With
+        What is out for long counts as a sample already, so a server that accepts and never answers is seen. With
         few samples the quantile is drawn towards the fellows'.
         """
         quantiles = {}
         for server in self.servers.values():
-            samples = server.samples.values(now)
-            samples.extend((now - sent) / lane.floor for sent, lane in server.out.values()
-                           if now - sent > 1.5 * lane.mean)
+            ages = [(now - sent) / lane.floor for sent, lane in server.out.values() if now - sent > 1.5 * lane.mean]
+            samples = sorted(server.samples.values(now) + ages)
             if samples:
-                samples.sort()
                 quantiles[server.name] = (samples[int(JUDGED * (len(samples) - 1) + 0.5)], len(samples))
-        if not quantiles:
-            return
-        middle = max(1.0, median(value for value, _ in quantiles.values()))
+        middle = max(1.0, median([value for value, _ in quantiles.values()] or [1.0]))
+        warm = []
         for server in self.servers.values():
             value, number = quantiles.get(server.name, (middle, 0))
-            excess = (value / middle) ** (number / (number + 4))
-            server.slow = max(1.0, excess / 1.3)
-        warm = [server.good.rate(now) for server in self.servers.values()
-                if server.presence == "on" and not 0 < now - server.started < self.facts.warm_within]
+            server.slow = max(1.0, (value / middle) ** (number / (number + 4)) / 1.3)
+            if server.presence == "on" and not 0 < now - server.started < self.facts.warm_within:
+                warm.append(server.good.rate(now))
         self.fellow_rate = sum(warm) / len(warm) if warm else 0.0
 
     def _limit(self, now: float) -> None:
-        """The limiting rates: saturation ratio x cost sent, split by quota, least over servers, worst zone ignored."""
-        ratios = {server.name: server.throttling_ratio() for server in self.servers.values() if server.cost}
+        """The limiting rates: ratio x cost sent, split by quota, least over servers, worst zone ignored."""
+        ratios = {name: server.throttling_ratio() for name, server in self.servers.items()}
         zones: dict[str, float] = {}
-        for server in self.servers.values():
-            ratio = ratios.get(server.name)
-            if ratio is not None:
-                zones[server.zone] = min(zones.get(server.zone, 2.0), ratio)
-        single = len({server.zone for server in self.servers.values()}) < 2
-        worst = None if single or not zones else min(zones, key=lambda zone: (zones[zone], zone))
+        for name, server in self.servers.items():
+            zones[server.zone] = min(zones.get(server.zone, 2.0), ratios[name] or 2.0)
+        worst = min(zones, key=lambda zone: (zones[zone], zone)) if len(zones) > 1 else None
         for customer in self.customers.values():
             customer.limiting = float("inf")
-        for server in self.servers.values():
-            ratio = ratios.get(server.name)
+        for name, server in self.servers.items():
+            ratio = ratios[name]
             users = {key: units for key, units in server.cost.items() if key in self.customers}
-            if ratio is not None and server.zone != worst and users:
-                allowed = ratio * sum(users.values())
-                quotas = sum(self.customers[key].plan.rate for key in users) or 1.0
+            quotas = sum(self.customers[key].plan.rate for key in users)
+            if ratio is not None and server.zone != worst and quotas > 0:
+                allowed = ratio * sum(users.values()) / quotas
                 for key, units in users.items():
                     customer = self.customers[key]
-                    own = customer.units.rate(now)
-                    if own > 0 and units > 0:
-                        share = allowed * customer.plan.rate / quotas
-                        summed = own + customer.others_rate(now)
-                        customer.limiting = min(customer.limiting, share / units * summed)
+                    summed = customer.units.rate(now) + customer.others_rate(now)
+                    customer.limiting = min(customer.limiting, allowed * customer.plan.rate / units * summed)
             server.cost = {key: units * 0.85 for key, units in users.items() if units > 0.05}
