--- a/merlintally/benchlink/framing.py
+++ b/merlintally/benchlink/framing.py
@@ -1,4 +1,4 @@
-"""Lines and batches of the bench's wire: splitting, reading typed fields, and saying plainly what is wrong."""
+"""Lines and batches of the bench's wire: splitting, typed fields, and saying what is wrong."""
 
 from __future__ import annotations
 
--- a/merlintally/choice.py
+++ b/merlintally/choice.py
@@ -5,8 +5,6 @@
 counter answers, peer notes and wake-ups are calls on the gateway: `roster`, `counted`, `noted`, `wake`. All
 take `now` in seconds. What is to be done comes from `gateway.take_results(now)`. The types that go in and out
 are in merlintally/interface.py; docs/design.md tells what is kept of the design and when exceptions act.
-
-Order: tuned values, lanes, customers (the throttler), app servers, submissions, the gateway.
 """
 
 from __future__ import annotations
@@ -18,15 +16,7 @@
 from statistics import median
 
 from merlintally.interface import (
-    CounterOutcome,
-    LaneFacts,
-    LoadReport,
-    Outcome,
-    PlanFacts,
-    Results,
-    ServerFacts,
-    StartFacts,
-)
+    CounterOutcome, LaneFacts, LoadReport, Outcome, PlanFacts, Results, ServerFacts, StartFacts)
 from merlintally.ring import Ring, SampleRing
 
 # Throttler
@@ -46,7 +36,8 @@
 JUDGED = 0.8  # the quantile of answer times by which servers are compared
 TRIAL = 1.0  # seconds between pieces for a server that is held to be too slow for them
 CREDIT = (2.0, 0.12)  # further executions a server may get: at most, and earned with each good answer
-PATIENCE = (4.0, 2.0)  # mean answer times before a further execution: at a fair server, at one found slow
+FOUND_SLOW = 1.5  # quantile over the fellows' from which a server's late executions get a further one
+PATIENCE = 3.0  # mean answer times until then
 COLD_SAFETY = 0.6  # part of the stated budget of a cold server that is used
 MARGIN = 0.03  # seconds before a hard limit at which nothing new is begun
 TICK = (0.02, 0.2)  # seconds between wake-ups while submissions are open, and else
@@ -63,7 +54,7 @@
         self.answers = 0
 
     def learn(self, elapsed: float) -> None:
-        """Follow the mean answer time quickly and its floor slowly: a slow spell must not become the floor."""
+        """Follow the mean answer time quickly, its floor slowly: a slow spell must not become the floor."""
         self.answers += 1
         self.mean += (elapsed - self.mean) / min(self.answers, 40)
         drifted = self.floor + (self.mean - self.floor) * 0.0005
@@ -86,7 +77,8 @@
         self.requests, self.units = Ring(FOLD, FOLDS), Ring(FOLD, FOLDS)
         self.common = plan.rate / self.gateways
         # Guards restarts: a part of the ceiling fills from empty since this gateway's start, never from full.
-        self.part_depth, self.part_rate = plan.ceiling_burst / self.gateways, plan.ceiling_rate / self.gateways
+        even = 1 / self.gateways
+        self.part_depth, self.part_rate = plan.ceiling_burst * even, plan.ceiling_rate * even
         self.part = min(self.part_depth, self.part_rate * uptime)
         self.out = 0
         self.parked: deque[Submission] = deque()
@@ -124,8 +116,7 @@
     def inside(self, units: float, now: float) -> bool:
         """Whether the quota has room: the burst store lies under the common rate.
 
-        While the store holds more than the others may have drawn unseen, it alone decides; when it is short, the
-        common rate binds, which curbs only the busiest gateways.
+        A store that holds more than the others may have drawn unseen decides alone, else the common rate.
         """
         self.advance(now)
         if self.plan.rate <= 0:
@@ -154,7 +145,7 @@
         self.common = min(self.target, max(self.target / self.gateways, self.common * step))
 
     def room_out(self, now: float, answer_time: float) -> bool:
-        """The cap on executions out at once: less what the others are held to have out, or the even part."""
+        """The cap on executions out at once: less what others are held to have out, or the even part."""
         limit = self.plan.open_limit
         others = self.others_rate(now) / max(self.average_cost, 0.1) * answer_time
         return not limit or self.out < max(1, int(max(limit - others, limit / self.gateways)))
@@ -162,8 +153,8 @@
     def news(self, total: float, added: float, now: float, uptime: float) -> None:
         """Take the counter's total after `added`; what is not ours since the last answer is the others' use.
 
-        Guards against a count that began anew (expired, or a counter that came back empty): a total below what
-        must be there is no low use. What was projected then stands, and the rate with it.
+        Guards against a count that began anew (expired, back empty): a total below what must be there is no low
+        use. What was projected then stands, and the rate with it.
         """
         self.advance(now)
         since = max(now - self.heard, 0.02)
@@ -179,14 +170,16 @@
         """Whether forgetting it loses nothing: all stores full again, nothing out or on its way."""
         refill = self.plan.burst / self.plan.rate * self.gateways if self.plan.rate > 0 else 1.0
         part = self.part_depth / self.part_rate if self.part_rate > 0 else 0.0
-        return now - self.seen > 2.0 + max(refill, part) and not (self.out or self.parked or self.asked is not None)
+        busy = self.out or self.parked or self.asked is not None
+        return now - self.seen > 2.0 + max(refill, part) and not busy
 
 
 class AppServer:
     """What this gateway has seen of one app server."""
 
     def __init__(self, facts: ServerFacts, first_places: float) -> None:
-        self.name, self.zone, self.cell, self.first_places = facts.server, facts.zone, facts.cell, first_places
+        self.name, self.zone, self.cell = facts.server, facts.zone, facts.cell
+        self.first_places = first_places
         self.out: dict[tuple[int, int], tuple[float, Lane]] = {}
         self.renew(facts)
 
@@ -216,12 +209,12 @@
         crowd = 1 + len(self.out) / max(1.0, self.places) + queued
         return self.ratio * self.slow * crowd / (1.05 - self.failing) ** 3
 
-    def answered(self, now: float, lane: Lane, outcome: Outcome, elapsed: float, report: LoadReport | None) -> None:
+    def answered(self, now: float, lane: Lane, outcome: Outcome, elapsed: float,
+                 report: LoadReport | None, wanted: bool) -> None:
         """Learn from an execution's end.
 
-        Guards against fast failures that attract work, and servers dead but listed: each failure keeps work
-        away for longer the larger the failing share, so that single pieces try it again. It would harm if all
-        failed at once; then the line waits for the pauses to end.
+        Guards against fast failures that attract work, and servers dead but listed: a failure keeps work away
+        for longer the larger the failing share. Harm: if all fail at once, the line waits the pauses out.
         """
         if report and "waiting" in report:
             self.waiting, self.waiting_at = report["waiting"], now
@@ -237,7 +230,7 @@
             self.credit = min(CREDIT[0], self.credit + CREDIT[1])
             self.failing *= 0.8
             self.refusals *= 0.9
-            if self.ratio < EASY and len(self.out) + 1 >= int(self.places):
+            if wanted and self.ratio < EASY and len(self.out) + 1 >= int(self.places):
                 self.places += 0.25
         elif outcome in ("error", "broken", "unreachable"):
             self.failing += (1 - self.failing) * 0.25
@@ -258,9 +251,10 @@
 class Submission:
     """The handle of one taken submission."""
 
-    def __init__(self, gateway: Gateway, submission: int, lane: Lane, customer: Customer, units: float, now: float,
-                 time_left: float) -> None:
-        self.gateway, self.id, self.lane, self.customer, self.units = gateway, submission, lane, customer, units
+    def __init__(self, gateway: Gateway, submission: int, lane: Lane, customer: Customer, units: float,
+                 now: float, time_left: float) -> None:
+        self.gateway, self.id, self.lane = gateway, submission, lane
+        self.customer, self.units = customer, units
         self.taken, self.ends = now, now + time_left - MARGIN
         self.useful = min(now + lane.quoted_time - lane.floor, self.ends)
         self.out: dict[int, AppServer] = {}
@@ -273,15 +267,15 @@
         """Whether nothing more can come for it."""
         return self.closed and not self.out
 
-    def ended(self, now: float, number: int, outcome: Outcome, elapsed: float, over: bool, actual: float = 0.0,
-              report: LoadReport | None = None) -> None:
+    def ended(self, now: float, number: int, outcome: Outcome, elapsed: float, over: bool,
+              actual: float = 0.0, report: LoadReport | None = None) -> None:
         """An execution has ended; `over` says that the submission has its final answer."""
         server, gateway = self.out.pop(number, None), self.gateway
         if server is None:
             return
         server.out.pop((self.id, number), None)
         self.customer.out -= 1
-        server.answered(now, self.lane, outcome, elapsed, report)
+        server.answered(now, self.lane, outcome, elapsed, report, any(queue for _, queue in gateway.lines))
         if outcome in NEVER_RAN:
             self.risky.pop(number, None)
         if actual and not self.beyond:
@@ -294,7 +288,7 @@
         gateway.pull(now)
 
     def begun(self, now: float, number: int) -> None:
-        """The answer has begun to stream: it belongs to the client now."""
+        """The answer has begun to stream and belongs to the client."""
         self.streaming = True
 
     def left(self, now: float) -> None:
@@ -306,7 +300,7 @@
     def may_bounce(self) -> bool:
         """Rule 2 for bounces: a retry must be safe."""
         lane = self.lane
-        return not self.risky or lane.effect == "harmless" or (lane.effect == "stamped" and lane.group == "all")
+        return not self.risky or lane.effect == "harmless" or (lane.effect, lane.group) == ("stamped", "all")
 
     def may_repeat(self, now: float) -> bool:
         """Rule 2 for a further execution, but for the server it goes to."""
@@ -343,8 +337,7 @@
     def take(self, now: float, submission: int, lane_name: str, key: str, plan_name: str, time_left: float,
              units: float, gateways: int) -> Submission:
         """Take a submission: admit it to the line, or refuse it at once."""
-        unknown = LaneFacts(lane_name, time_left, time_left, 0, 0, "one-shot", "cell", 0)
-        lane = self.lanes.get(lane_name) or Lane(unknown)
+        lane = self.lanes.get(lane_name) or Lane(LaneFacts(lane_name, 1, 1, 0, 0, "one-shot", "cell", 0))
         customer = self._customer(now, key, plan_name, gateways)
         handle = Submission(self, submission, lane, customer, units, now, time_left)
         if time_left <= MARGIN or not self._admit(now, handle):
@@ -361,7 +354,8 @@
             for server in self.servers.values():
                 server.presence = "gone"
         for entry in entries:
-            server = self.servers.setdefault(entry.server, AppServer(entry, FIRST_PLACES / self.facts.gateways))
+            fresh = AppServer(entry, FIRST_PLACES / self.facts.gateways)
+            server = self.servers.setdefault(entry.server, fresh)
             if entry.started > server.started:
                 server.renew(entry)
             server.presence = entry.presence
@@ -533,14 +527,15 @@
     def _free(self, now: float) -> list[AppServer]:
         """The servers with a free place; none once as much is out as all places together allow."""
         servers = self.servers.values()
-        if sum(len(server.out) for server in servers) >= max(1.0, sum(server.worth(now) for server in servers)):
+        places = sum(server.worth(now) for server in servers)
+        if sum(len(server.out) for server in servers) >= max(1.0, places):
             return []
         return [server for server in servers if server.has_place(now)]
 
     def _send_best(self, now: float, handle: Submission, free: list[AppServer]) -> bool:
         """Send to the server expected to answer first, of those that may get it.
 
-        Guards against servers too slow for the time left: they get a piece now and then, to be seen recovering.
+        Guards against servers too slow for the time left: they get a piece now and then, as a trial.
         """
         best, lowest = None, float("inf")
         tried = {server.name for server, _ in handle.risky.values()}
@@ -574,7 +569,7 @@
                     return "no effect twice"
         if server.presence != "on":
             return "drains"
-        if server.started > 0 and now - server.started < facts.warm_within and not self._cold_room(now, server):
+        if not self._cold_room(now, server):
             return "cold server"
         if not handle.count and customer.part_rate > 0:
             customer.advance(now)
@@ -585,11 +580,13 @@
     def _cold_room(self, now: float, server: AppServer) -> bool:
         """Whether a cold server's budget has room for one more execution of this gateway.
 
-        Its fellows' answers show what this gateway's part of a warm server's ability is at least; the stated share
-        of that, growing evenly, times the multiple, is the budget of any window.
+        Its fellows' answers show at least what this gateway's part of a warm server's ability is; the stated
+        share of that, growing evenly, times the multiple, is the budget of any window.
         """
-        facts = self.facts
-        share = facts.cold_share + (1 - facts.cold_share) * max(0.0, now - server.started) / facts.warm_within
+        facts, age = self.facts, max(0.0, now - server.started)
+        if server.started <= 0 or age >= facts.warm_within:
+            return True
+        share = facts.cold_share + (1 - facts.cold_share) * age / facts.warm_within
         allowed = facts.tip_multiple * share * self.fellow_rate * facts.tip_window * COLD_SAFETY
         return server.sent.total(now) + 1 <= max(1.0, allowed)
 
@@ -611,51 +608,46 @@
 
     def _expire(self, now: float) -> None:
         """End early what waits and can no longer be in time; parked pieces of any lane too."""
-        for key, customer in list(self.holding.items()):
-            for handle in [handle for handle in customer.parked if now >= handle.useful and not handle.closed]:
+        waiting = [queue for _, queue in self.lines] + [customer.parked for customer in self.holding.values()]
+        for handle in [handle for queue in waiting for handle in queue if now >= handle.useful]:
+            if not handle.closed:
                 self.finish(now, handle)
+        for key, customer in list(self.holding.items()):
             while customer.parked and customer.parked[0].closed:
                 customer.parked.popleft()
             if customer.parked and customer.room_out(now, customer.parked[0].lane.mean):
                 self._queue(customer.parked.popleft(), True)
             if not customer.parked:
                 del self.holding[key]
-        for _, queue in self.lines:
-            for handle in [handle for handle in queue if now >= handle.useful and not handle.closed]:
-                self.finish(now, handle)
 
     def _hurry(self, now: float) -> None:
-        """Give a late execution a further one elsewhere while that can still be in time.
+        """Give a late execution at a server found slow a further one elsewhere while it can still be in time.
 
-        Guards against servers that stall, slow down, or accept and never answer. Harm: when all are slow at once
-        it would add work, so credit bounds it and lateness is measured by the present mean.
+        Guards against servers that stall or accept and never answer. Harm: added work, so credit bounds it.
         """
-        facts = self.facts
         for handle in list(self.open.values()):
-            lane = handle.lane
-            if len(handle.out) != 1 or handle.streaming or handle.count >= facts.most_executions:
+            if len(handle.out) != 1 or handle.streaming or handle.lane.effect == "one-shot":
                 continue
             (number, server), = handle.out.items()
-            late = now - handle.risky[number][1] > lane.mean * PATIENCE[server.slow > 1.5]
-            if not late or now + lane.mean > min(handle.taken + lane.quoted_time, handle.ends):
-                continue
-            if lane.effect == "one-shot" or not handle.may_repeat(now):
+            mean, in_time = handle.lane.mean, min(handle.taken + handle.lane.quoted_time, handle.ends)
+            late = server.slow > FOUND_SLOW and now - handle.risky[number][1] > PATIENCE * mean
+            if not late or now + mean > in_time or handle.count >= self.facts.most_executions:
                 continue
             free = [other for other in self._free(now) if other is not server and other.credit >= 1]
-            if facts.parallel:
+            if self.facts.parallel:
                 self._send_best(now, handle, free)
-            elif free and facts.may_withdraw:
+            elif free and self.facts.may_withdraw and handle.may_repeat(now):
                 self.results.withdrawn.append((handle.id, number))
 
     def _judge(self, now: float) -> None:
         """Judge each server by a high quantile of its answer times against its fellows'.
 
-        What is out for long counts as a sample already, so a server that accepts and never answers is seen. With
-        few samples the quantile is drawn towards the fellows'.
+        What is out for long is a sample already, so a server that never answers is seen. With few samples the
+        quantile is drawn towards the fellows'.
         """
         quantiles = {}
         for server in self.servers.values():
-            ages = [(now - sent) / lane.floor for sent, lane in server.out.values() if now - sent > 1.5 * lane.mean]
+            ages = [(now - sent) / lane.floor for sent, lane in server.out.values() if now - sent > lane.mean]
             samples = sorted(server.samples.values(now) + ages)
             if samples:
                 quantiles[server.name] = (samples[int(JUDGED * (len(samples) - 1) + 0.5)], len(samples))
@@ -686,5 +678,6 @@
                 for key, units in users.items():
                     customer = self.customers[key]
                     summed = customer.units.rate(now) + customer.others_rate(now)
-                    customer.limiting = min(customer.limiting, allowed * customer.plan.rate / units * summed)
+                    limit = allowed * customer.plan.rate / units * summed
+                    customer.limiting = min(customer.limiting, limit)
             server.cost = {key: units * 0.85 for key, units in users.items() if units > 0.05}
--- a/merlintally/interface.py
+++ b/merlintally/interface.py
@@ -92,7 +92,7 @@
 class Results:
     """What the decisions want done, in plain rows; whoever stands in front takes and clears them."""
 
-    sends: list[tuple[int, str, float]] = field(default_factory=list)  # submission, server, time-out (0: none)
+    sends: list[tuple[int, str, float]] = field(default_factory=list)  # submission, server, time-out or 0
     bounced: list[tuple[int, float]] = field(default_factory=list)  # submission, come back after (0: unsaid)
     given_up: list[int] = field(default_factory=list)
     withdrawn: list[tuple[int, int]] = field(default_factory=list)  # submission, execution number
--- a/merlintally/ring.py
+++ b/merlintally/ring.py
@@ -36,7 +36,7 @@
         return sum(self.sums)
 
     def rate(self, now: float) -> float:
-        """The sum for each second of the time the ring covers, the open bucket counted for what has passed."""
+        """The sum for each second covered; the open bucket counts for what has passed of it."""
         covered = (self.count - 1) * self.width + now % self.width
         return self.total(now) / covered
 
