--- a/merlintally/choice.py
+++ b/merlintally/choice.py
@@ -29,9 +29,10 @@
 KEEP = 60.0  # seconds a count is kept by name
 PACE = (40.0, 4.0, 400.0)  # counter calls a second: at the start, at the least, at the most
 # Servers and line
-SATURATED = 1.8  # answer times over their floor from which a server counts as near saturation
-EASY = 1.3  # below this a server that is kept full gets more places
-FIRST_PLACES = 4.0  # at each server for all gateways together
+SATURATED = 1.6  # answer times over their floor from which a server counts as near saturation
+EASY = 1.15  # below this a server that is kept full gets more places
+FIRST_PLACES = 3.0  # at each server for all gateways together
+GROWTH = 0.2  # of the first places, gained with an answer that came easily while work waits
 LEAST_PLACES = 0.25  # of one gateway at a server: below 1 only some servers get a piece at a time
 JUDGED = 0.8  # the quantile of answer times by which servers are compared
 TRIAL = 1.0  # seconds between pieces for a server that is held to be too slow for them
@@ -153,8 +154,8 @@
     def news(self, total: float, added: float, now: float, uptime: float) -> None:
         """Take the counter's total after `added`; what is not ours since the last answer is the others' use.
 
-        Guards against a count that began anew (expired, back empty): a total below what must be there is no low
-        use. What was projected then stands, and the rate with it.
+        Guards against a count that began anew (expired, back empty): a total below what must be there is no
+        low use. What was projected then stands.
         """
         self.advance(now)
         since = max(now - self.heard, 0.02)
@@ -231,7 +232,7 @@
             self.failing *= 0.8
             self.refusals *= 0.9
             if wanted and self.ratio < EASY and len(self.out) + 1 >= int(self.places):
-                self.places += 0.25
+                self.places += GROWTH * self.first_places
         elif outcome in ("error", "broken", "unreachable"):
             self.failing += (1 - self.failing) * 0.25
             if self.failing > 0.3:
--- /dev/null
+++ b/tests/test_gateway.py
@@ -0,0 +1,194 @@
+"""Admission, the rules that every send passes, the line and the servers."""
+
+from dataclasses import replace
+
+from helpers import PLAN, SERVER, gateway, lane, take
+
+
+def test_within_quota_is_sent_at_once() -> None:
+    at = gateway()
+    take(at)
+    assert at.take_results(100.0).sends == [(1, "s1", 0.0)]
+
+
+def test_beyond_quota_is_refused_at_once_with_a_time_to_come_back() -> None:
+    at = gateway()
+    take(at)
+    at.customers["c"].store = 0.0
+    assert take(at, 2).settled
+    (number, wait), = at.take_results(100.0).bounced
+    assert number == 2 and 0 < wait <= 2.0
+
+
+def test_unknown_plan_no_time_and_zero_quota_are_refused() -> None:
+    at = gateway(plan=replace(PLAN, rate=0.0, burst=0.0))
+    assert take(at, 1, plan="unheard-of").settled
+    assert take(at, 2, time_left=0.0).settled
+    assert take(at, 3, time_left=-1.0).settled
+    assert take(at, 4).settled
+
+
+def test_units_above_the_ceilings_part_are_refused() -> None:
+    at = gateway(plan=replace(PLAN, burst=50.0))
+    assert take(at, units=9.0).settled
+
+
+def test_without_servers_work_waits_and_is_ended_early() -> None:
+    at = gateway()
+    at.roster(100.0, [], complete=True)
+    handle = take(at)
+    assert not handle.closed and not at.take_results(100.0).sends
+    at.wake(handle.useful)
+    assert handle.closed and at.take_results(handle.useful).bounced
+
+
+def test_parked_pieces_of_any_lane_are_ended_in_time() -> None:
+    at = gateway((lane(), lane(name="long", quoted_time=3.0)), replace(PLAN, open_limit=1))
+    at.servers["s1"].places = 9.0
+    take(at, 1)
+    long, short = take(at, 2, lane_name="long"), take(at, 3)
+    assert list(at.customers["c"].parked) == [long, short]
+    at.wake(short.useful)
+    assert short.closed and not long.closed
+
+
+def test_lane_slower_than_its_quoted_time_is_still_let_in() -> None:
+    at = gateway()
+    at.lanes["lane"].mean = 5.0
+    assert not take(at).closed
+
+
+def test_draining_server_gets_nothing() -> None:
+    at = gateway()
+    at.roster(100.0, [replace(SERVER, presence="draining")], complete=False)
+    take(at)
+    assert not at.take_results(100.0).sends
+
+
+def test_cold_server_gets_one_piece_a_window_from_a_gateway_that_knows_no_fellows() -> None:
+    at = gateway()
+    at.roster(100.0, [replace(SERVER, started=99.9)], complete=False)
+    handle, server = take(at), at.servers["s1"]
+    assert len(at.take_results(100.0).sends) == 1
+    assert at._may_send(100.0, handle, server) == "cold server"
+
+
+def test_ceiling_is_checked_at_the_send() -> None:
+    at = gateway()
+    at.roster(100.0, [], complete=True)
+    handle = take(at)
+    at.customers["c"].part = 0.0
+    at.servers["s1"].presence = "on"
+    assert at._may_send(100.0, handle, at.servers["s1"]) == "ceiling"
+
+
+def test_one_shot_that_may_have_run_is_given_up() -> None:
+    at = gateway((lane(effect="one-shot"),))
+    handle = take(at)
+    at.take_results(100.0)
+    handle.ended(100.1, 0, "broken", 0.1, False)
+    assert at.take_results(100.1).given_up == [1]
+
+
+def test_one_shot_that_never_ran_goes_out_again() -> None:
+    at = gateway((lane(effect="one-shot"),))
+    at.roster(100.0, [replace(SERVER, server="s2")], complete=False)
+    handle = take(at)
+    (_, first, _), = at.take_results(100.0).sends
+    handle.ended(100.1, 0, "full", 0.1, False)
+    (_, second, _), = at.take_results(100.1).sends
+    assert first != second
+
+
+def test_stamped_goes_again_only_within_its_group_and_while_remembered() -> None:
+    at = gateway((lane(effect="stamped", discard_group="cell"),))
+    at.roster(100.0, [replace(SERVER, server="s2", cell=1), replace(SERVER, server="s3")], complete=False)
+    handle = take(at)
+    handle.risky = {0: (at.servers["s1"], 100.0)}
+    assert at._may_send(101.0, handle, at.servers["s2"]) == "no effect twice"
+    assert at._may_send(101.0, handle, at.servers["s3"]) is None
+    assert at._may_send(103.5, handle, at.servers["s3"]) == "no effect twice"
+    assert not handle.may_bounce()
+
+
+def test_no_second_execution_beside_the_first_where_not_allowed() -> None:
+    at = gateway(parallel=False)
+    handle = take(at)
+    assert at._may_send(100.0, handle, at.servers["s1"]) == "one execution at a time"
+
+
+def test_fast_failures_keep_work_away() -> None:
+    at = gateway()
+    server = at.servers["s1"]
+    for _ in range(4):
+        server.answered(100.0, at.lanes["lane"], "error", 0.001, None, False)
+    assert not server.has_place(100.5) and server.has_place(102.0)
+
+
+def test_silent_server_is_found_slow_by_what_is_out() -> None:
+    at = gateway()
+    at.roster(100.0, [replace(SERVER, server=f"s{n}") for n in range(2, 6)], complete=False)
+    row = at.lanes["lane"]
+    for name in ("s2", "s3", "s4", "s5"):
+        at.servers[name].samples.add(105.0, 1.0)
+    at.servers["s1"].out = {(n, 0): (100.0, row) for n in range(4)}
+    at._judge(105.0)
+    assert at.servers["s1"].slow > 2 > at.servers["s2"].slow
+
+
+def test_late_execution_at_a_slow_server_gets_a_further_one() -> None:
+    at = gateway((lane(quoted_time=3.0),))
+    handle = take(at)
+    at.take_results(100.0)
+    at.roster(100.0, [replace(SERVER, server="s2")], complete=False)
+    at.servers["s1"].slow, at.lanes["lane"].mean = 4.0, 0.2
+    at._hurry(101.0)
+    assert at.take_results(101.0).sends == [(1, "s2", 0.0)] and handle.count == 2
+
+
+def test_server_too_slow_for_the_time_left_gets_only_a_trial() -> None:
+    at = gateway()
+    server = at.servers["s1"]
+    server.ratio, server.sent_at = 50.0, 99.9
+    take(at)
+    assert not at.take_results(100.0).sends
+    at.pull(100.0 + 0.8)
+    server.sent_at = 90.0
+    at.pull(100.0 + 0.8)
+    assert len(at.take_results(100.8).sends) == 1
+
+
+def test_places_grow_only_while_work_waits() -> None:
+    at = gateway()
+    server, row = at.servers["s1"], at.lanes["lane"]
+    before = server.places
+    server.answered(100.0, row, "ok", row.floor, None, False)
+    assert server.places == before
+    server.answered(100.0, row, "ok", row.floor, None, True)
+    assert server.places > before
+
+
+def test_restarted_server_begins_anew() -> None:
+    at = gateway()
+    at.servers["s1"].failing = 0.9
+    at.roster(101.0, [replace(SERVER, started=100.5)], complete=False)
+    assert at.servers["s1"].failing == 0.0
+
+
+def test_late_answer_for_something_gone_is_ignored() -> None:
+    at = gateway()
+    handle = take(at)
+    handle.left(100.5)
+    handle.ended(101.0, 0, "ok", 1.0, True)
+    handle.ended(101.0, 0, "ok", 1.0, True)
+    handle.left(101.0)
+    assert handle.settled and at.customers["c"].out == 0
+
+
+def test_never_sent_on_leaves_the_store_its_units() -> None:
+    at = gateway()
+    at.roster(100.0, [], complete=True)
+    handle = take(at)
+    assert at.customers["c"].store == PLAN.burst - 1
+    handle.left(100.0)
+    assert at.customers["c"].store == PLAN.burst
