--- a/merlintally/choice.py
+++ b/merlintally/choice.py
@@ -55,13 +55,16 @@
         self.answers = 0
 
     def learn(self, elapsed: float) -> None:
-        """Follow the mean answer time quickly, its floor slowly: a slow spell must not become the floor."""
+        """Follow the mean quickly and the floor slowly: a slow spell must not become the floor."""
         self.answers += 1
         self.mean += (elapsed - self.mean) / min(self.answers, 40)
         drifted = self.floor + (self.mean - self.floor) * 0.0005
         self.floor = self.mean if self.answers < 40 else min(self.mean, drifted)
 
 
+BEYOND = Lane(LaneFacts("beyond", 1, 1, 0, 0, "one-shot", "cell", 0))  # line of what is beyond the quota
+
+
 class Customer:
     """The throttler's sums for one customer, as far as this gateway can know them."""
 
@@ -78,22 +81,20 @@
         self.requests, self.units = Ring(FOLD, FOLDS), Ring(FOLD, FOLDS)
         self.common = plan.rate / self.gateways
         # Guards restarts: a part of the ceiling fills from empty since this gateway's start, never from full.
-        even = 1 / self.gateways
-        self.part_depth, self.part_rate = plan.ceiling_burst * even, plan.ceiling_rate * even
+        self.part_depth = plan.ceiling_burst / self.gateways
+        self.part_rate = plan.ceiling_rate / self.gateways
         self.part = min(self.part_depth, self.part_rate * uptime)
         self.out = 0
         self.parked: deque[Submission] = deque()
 
     @property
     def average_cost(self) -> float:
-        requests = self.requests.total(self.at)
-        return self.units.total(self.at) / requests if requests > 0 else 1.0
+        return self.units.total(self.at) / (self.requests.total(self.at) or float("inf")) or 1.0
 
     @property
     def target(self) -> float:
         """In units a second."""
-        reserved = self.plan.rate
-        desired = reserved * SOFT if self.soft else reserved
+        reserved, desired = self.plan.rate, self.plan.rate * (SOFT if self.soft else 1.0)
         return max(reserved, min(desired, self.limiting))
 
     def others_rate(self, now: float) -> float:
@@ -101,8 +102,11 @@
         silence = 0.0 if self.silent is None else min(1.0, (now - self.silent) / STALE)
         return self.others + (self.plan.rate * (1 - 1 / self.gateways) - self.others) * silence
 
+    def summed(self, now: float) -> float:
+        return self.units.rate(now) + self.others_rate(now)
+
     def advance(self, now: float) -> None:
-        """Let the modelled stores fill, and the others draw as projected."""
+        """Let the stores fill, and the others draw as projected."""
         passed, self.at = now - self.at, now
         if passed <= 0:
             return
@@ -115,10 +119,8 @@
         self.part = min(self.part_depth, self.part + self.part_rate * passed)
 
     def inside(self, units: float, now: float) -> bool:
-        """Whether the quota has room: the burst store lies under the common rate.
-
-        A store that holds more than the others may have drawn unseen decides alone, else the common rate.
-        """
+        """Whether the quota has room: the store alone decides while it holds more than others may have drawn
+        unseen; when it is short, the common rate binds too."""
         self.advance(now)
         if self.plan.rate <= 0:
             return self.plan.open_limit > 0
@@ -141,8 +143,7 @@
     def fit(self, now: float) -> None:
         """Move the common rate until summed use meets the target; a calm gateway keeps its even part."""
         self.advance(now)
-        summed = self.units.rate(now) + self.others_rate(now)
-        step = min(1.25, max(0.8, self.target / summed)) if summed > 0 else 1.25
+        step = min(1.25, max(0.8, self.target / max(self.summed(now), 0.01)))
         self.common = min(self.target, max(self.target / self.gateways, self.common * step))
 
     def room_out(self, now: float, answer_time: float) -> bool:
@@ -153,10 +154,7 @@
 
     def news(self, total: float, added: float, now: float, uptime: float) -> None:
         """Take the counter's total after `added`; what is not ours since the last answer is the others' use.
-
-        Guards against a count that began anew (expired, back empty): a total below what must be there is no
-        low use. What was projected then stands.
-        """
+        Guards against a count that began anew (expired, back empty): what was projected then stands."""
         self.advance(now)
         since = max(now - self.heard, 0.02)
         if self.total is None:
@@ -168,11 +166,10 @@
         self.total, self.heard, self.projected, self.silent = total, now, 0.0, None
 
     def idle(self, now: float) -> bool:
-        """Whether forgetting it loses nothing: all stores full again, nothing out or on its way."""
-        refill = self.plan.burst / self.plan.rate * self.gateways if self.plan.rate > 0 else 1.0
-        part = self.part_depth / self.part_rate if self.part_rate > 0 else 0.0
-        busy = self.out or self.parked or self.asked is not None
-        return now - self.seen > 2.0 + max(refill, part) and not busy
+        """Whether forgetting it loses nothing: stores full again, or all news old, and nothing on its way."""
+        full = self.store >= self.plan.burst and self.part >= self.part_depth
+        unseen, busy = now - self.seen, self.out or self.parked or self.asked is not None
+        return not busy and (unseen > KEEP or (full and unseen > STALE))
 
 
 class AppServer:
@@ -185,20 +182,18 @@
         self.renew(facts)
 
     def renew(self, facts: ServerFacts) -> None:
-        """Begin anew: a server that has restarted keeps nothing of its past but what is still out."""
+        """Begin anew: a restarted server keeps nothing of its past but what is still out."""
         self.presence, self.started = facts.presence, facts.started
-        self.places, self.ratio, self.slow = self.first_places, 1.0, 1.0
+        self.places, self.ratio, self.slow, self.credit = self.first_places, 1.0, 1.0, CREDIT[0]
         self.failing = self.resume = self.refusals = self.waiting = 0.0
         self.waiting_at = self.sent_at = -1.0
         self.samples, self.good, self.sent = SampleRing(1.0, 6), Ring(0.5, 6), Ring(0.25, 20)
-        self.credit = CREDIT[0]
         self.cost: dict[str, float] = {}
 
     def worth(self, now: float) -> float:
         """Its places after what is held against it."""
-        if self.presence != "on" or now < self.resume:
-            return 0.0
-        return self.places * (1 - self.failing) / self.slow
+        usable = self.presence == "on" and now >= self.resume
+        return self.places * (1 - self.failing) / self.slow if usable else 0.0
 
     def has_place(self, now: float) -> bool:
         worth = self.worth(now)
@@ -212,11 +207,8 @@
 
     def answered(self, now: float, lane: Lane, outcome: Outcome, elapsed: float,
                  report: LoadReport | None, wanted: bool) -> None:
-        """Learn from an execution's end.
-
-        Guards against fast failures that attract work, and servers dead but listed: a failure keeps work away
-        for longer the larger the failing share. Harm: if all fail at once, the line waits the pauses out.
-        """
+        """Learn from an execution's end. Guards against fast failures that attract work, and servers dead but
+        listed: the larger the failing share, the longer a failure keeps work away."""
         if report and "waiting" in report:
             self.waiting, self.waiting_at = report["waiting"], now
         relative = elapsed / lane.floor
@@ -229,24 +221,20 @@
             lane.learn(elapsed)
             self.good.add(now, 1.0)
             self.credit = min(CREDIT[0], self.credit + CREDIT[1])
-            self.failing *= 0.8
-            self.refusals *= 0.9
+            self.failing, self.refusals = self.failing * 0.8, self.refusals * 0.9
             if wanted and self.ratio < EASY and len(self.out) + 1 >= int(self.places):
                 self.places += GROWTH * self.first_places
         elif outcome in ("error", "broken", "unreachable"):
             self.failing += (1 - self.failing) * 0.25
-            if self.failing > 0.3:
-                self.resume = now + 2 * self.failing
+            self.resume = now + 2 * self.failing if self.failing > 0.3 else self.resume
         elif outcome == "full":
             self.refusals += (1 - self.refusals) * 0.1
-            self.places = max(LEAST_PLACES, self.places * 0.7)
-            self.resume = max(self.resume, now + 0.1)
+            self.places, self.resume = max(LEAST_PLACES, self.places * 0.7), max(self.resume, now + 0.1)
 
     def throttling_ratio(self) -> float | None:
         """Empty while no measure is near saturation; else the part of the present cost that it can serve."""
-        if self.ratio <= SATURATED and self.refusals < 0.1:
-            return None
-        return min(2.0, SATURATED / self.ratio, 1 - self.refusals)
+        near = self.ratio > SATURATED or self.refusals >= 0.1
+        return min(2.0, SATURATED / self.ratio, 1 - self.refusals) if near else None
 
 
 class Submission:
@@ -256,32 +244,28 @@
                  now: float, time_left: float) -> None:
         self.gateway, self.id, self.lane = gateway, submission, lane
         self.customer, self.units = customer, units
-        self.taken, self.ends = now, now + time_left - MARGIN
+        self.count, self.taken, self.ends = 0, now, now + time_left - MARGIN
         self.useful = min(now + lane.quoted_time - lane.floor, self.ends)
         self.out: dict[int, AppServer] = {}
         self.risky: dict[int, tuple[AppServer, float]] = {}  # executions that may have run, or may be running
-        self.count = 0
         self.closed = self.beyond = self.streaming = False
 
     @property
     def settled(self) -> bool:
-        """Whether nothing more can come for it."""
         return self.closed and not self.out
 
     def ended(self, now: float, number: int, outcome: Outcome, elapsed: float, over: bool,
               actual: float = 0.0, report: LoadReport | None = None) -> None:
-        """An execution has ended; `over` says that the submission has its final answer."""
         server, gateway = self.out.pop(number, None), self.gateway
         if server is None:
             return
         server.out.pop((self.id, number), None)
         self.customer.out -= 1
-        server.answered(now, self.lane, outcome, elapsed, report, any(queue for _, queue in gateway.lines))
+        server.answered(now, self.lane, outcome, elapsed, report, any(gateway.lines.values()))
         if outcome in NEVER_RAN:
             self.risky.pop(number, None)
         if actual and not self.beyond:
             self.customer.settle(actual - self.units)
-            gateway.untold[self.customer.key] = self.customer
         if over:
             self.left(now)
         if not self.closed and not self.out:
@@ -323,15 +307,13 @@
         self.untold: dict[str, Customer] = {}
         self.holding: dict[str, Customer] = {}  # customers with parked submissions
         self.servers: dict[str, AppServer] = {}
-        order = sorted(self.lanes.values(), key=lambda lane: -lane.gain)
-        self.lines: list[tuple[Lane | None, deque[Submission]]] = [(lane, deque()) for lane in order]
-        self.lines.append((None, deque()))  # beyond the quota: only when nobody inside waits
+        order = [*sorted(self.lanes.values(), key=lambda lane: -lane.gain), BEYOND]
+        self.lines: dict[Lane, deque[Submission]] = {lane: deque() for lane in order}  # served in this order
         self.open: dict[int, Submission] = {}
         self.pulls, self.fellow_rate = Ring(0.25, 6), 0.0
         self.pace = self.calls = PACE[0]
         self.started = self.paced_at = self.fitted = self.swept = now
-        self.woken = False
-        self.results = Results()
+        self.woken, self.results = False, Results()
 
     # What happens to the gateway
 
@@ -339,21 +321,20 @@
              units: float, gateways: int) -> Submission:
         """Take a submission: admit it to the line, or refuse it at once."""
         lane = self.lanes.get(lane_name) or Lane(LaneFacts(lane_name, 1, 1, 0, 0, "one-shot", "cell", 0))
-        customer = self._customer(now, key, plan_name, gateways)
+        customer = self._customer(now, key, plan_name, gateways or self.facts.gateways)
         handle = Submission(self, submission, lane, customer, units, now, time_left)
         if time_left <= MARGIN or not self._admit(now, handle):
             self.finish(now, handle)
-            return handle
-        self.open[submission] = handle
-        self._queue(handle, False)
-        self.pull(now)
+        else:
+            self.open[submission] = handle
+            self._queue(handle, False)
+            self.pull(now)
         return handle
 
     def roster(self, now: float, entries: Iterable[ServerFacts], complete: bool) -> None:
         """Follow the server list; a server absent from a complete list is gone."""
-        if complete:
-            for server in self.servers.values():
-                server.presence = "gone"
+        for server in self.servers.values() if complete else ():
+            server.presence = "gone"
         for entry in entries:
             fresh = AppServer(entry, FIRST_PLACES / self.facts.gateways)
             server = self.servers.setdefault(entry.server, fresh)
@@ -363,21 +344,18 @@
         self.pull(now)
 
     def counted(self, now: float, name: int, outcome: CounterOutcome, total: float, elapsed: float) -> None:
-        """The counter has answered an add, or has not in time.
-
-        Guards a slow, refusing or silent counter against being made worse, by the pace of calls.
-        """
+        """The counter has answered an add, or not in time; the pace spares a slow counter."""
         customer = self.names.get(name)
         if customer is None or customer.asked is None:
             return
         added, customer.asked = customer.asked, None
-        slow = outcome == "ok" and elapsed > 0.5 * self.facts.count_time_out
         if outcome == "ok":
             customer.news(total, added, now, now - self.started)
+            slow = elapsed > 0.5 * self.facts.count_time_out
             self.pace = max(PACE[1], self.pace * 0.95) if slow else min(PACE[2], self.pace + 1.0)
             return
         self.pace = max(PACE[1], self.pace * 0.7)
-        customer.silent = now if customer.silent is None else customer.silent
+        customer.silent = customer.silent or now
         if outcome != "timed_out":  # an add without an answer may have counted and is not told again
             customer.untold += added
             self.untold[customer.key] = customer
@@ -419,9 +397,8 @@
         customer = self.customers.get(key)
         if customer is None:
             plan = self.plans.get(plan_name) or PlanFacts(plan_name, 0, 0, 0, 0, 0, 0, 0, 0, 0)  # no quota
-            customer = Customer(key, plan, gateways or self.facts.gateways, now, now - self.started)
-            if not self.facts.may_count:
-                customer.silent = self.started
+            customer = Customer(key, plan, gateways, now, now - self.started)
+            customer.silent = None if self.facts.may_count else self.started
             self.customers[key] = self.names[customer.name] = customer
         return customer
 
@@ -431,14 +408,14 @@
         self._tell(now, customer)  # also when refused: a store held low by old news must not refuse for ever
         if customer.part_rate > 0 and customer.part < units:
             return False
-        ahead = sum(len(queue) for other, queue in self.lines if other and other.gain >= handle.lane.gain)
+        ahead = sum(len(queue) for lane, queue in self.lines.items() if lane.gain >= handle.lane.gain)
         if ahead and ahead / max(self.pulls.rate(now), 1.0) > handle.useful - now:
             return False  # what cannot be served in time is refused early
         if inside:
             customer.draw(units, now)
             self.untold[customer.key] = customer
             self._tell(now, customer)
-        elif customer.soft and customer.extra >= units and not any(queue for _, queue in self.lines):
+        elif customer.soft and customer.extra >= units and not any(self.lines.values()):
             customer.extra -= units
             handle.beyond = True
         return inside or handle.beyond
@@ -463,19 +440,15 @@
     def finish(self, now: float, handle: Submission) -> None:
         """End a submission: a bounce where a retry is safe, else given up."""
         handle.closed = True
-        if handle.may_bounce():
-            self.results.bounced.append((handle.id, self._come_back(handle)))
+        customer, limit = handle.customer, self.facts.retry_after_limit
+        if handle.may_bounce():  # the time named is when the store should hold the units again
+            lacking = handle.units - max(0.0, min(customer.store, customer.granted))
+            wait = lacking / customer.common if lacking > 0 and customer.common > 0 else limit / 4
+            self.results.bounced.append((handle.id, min(limit, max(0.05, wait))))
         else:
             self.results.given_up.append(handle.id)
         self.close(handle)
 
-    def _come_back(self, handle: Submission) -> float:
-        """When a retry may do better: when the store holds the units again."""
-        customer, limit = handle.customer, self.facts.retry_after_limit
-        lacking = handle.units - max(0.0, min(customer.store, customer.granted))
-        wait = lacking / customer.common if lacking > 0 and customer.common > 0 else limit / 4
-        return min(limit, max(0.05, wait)) if limit else 0.0
-
     def close(self, handle: Submission) -> None:
         """Forget a submission that has its final answer, and call off what is still out for it."""
         customer = handle.customer
@@ -488,9 +461,8 @@
 
     def again(self, now: float, handle: Submission) -> None:
         """An execution failed and none is out: one more where that can still help, else the final answer."""
-        lane = handle.lane
+        lane, spent = handle.lane, now >= handle.ends or handle.count >= self.facts.most_executions
         late = now > handle.useful and (lane.late_gain <= 0 or now + lane.floor > handle.ends)
-        spent = now >= handle.ends or handle.count >= self.facts.most_executions
         if late or spent or not handle.may_repeat(now):
             self.finish(now, handle)
         else:
@@ -500,13 +472,12 @@
     # Line and servers
 
     def _queue(self, handle: Submission, first: bool) -> None:
-        lane = None if handle.beyond else handle.lane
-        line = next((queue for row, queue in self.lines if row is lane), self.lines[-1][1])
+        line = self.lines.get(BEYOND if handle.beyond else handle.lane, self.lines[BEYOND])
         (line.appendleft if first else line.append)(handle)
 
     def pull(self, now: float) -> None:
         """App servers with a free place get the next pieces of the line."""
-        for _, queue in self.lines:
+        for queue in self.lines.values():
             kept: list[Submission] = []
             while queue and len(kept) < 8 and (free := self._free(now)):
                 handle = queue.popleft()
@@ -534,21 +505,17 @@
         return [server for server in servers if server.has_place(now)]
 
     def _send_best(self, now: float, handle: Submission, free: list[AppServer]) -> bool:
-        """Send to the server expected to answer first, of those that may get it.
-
-        Guards against servers too slow for the time left: they get a piece now and then, as a trial.
-        """
-        best, lowest = None, float("inf")
-        tried = {server.name for server, _ in handle.risky.values()}
-        left = handle.taken + handle.lane.quoted_time - now
+        """Send to the server expected to answer first, of those that may get it. Guards against servers too
+        slow for the time left: they get a piece now and then, as a trial."""
+        best, lowest, left = None, float("inf"), handle.taken + handle.lane.quoted_time - now
+        tried = [server for server, _ in handle.risky.values()]
         for server in free:
-            if handle.count and (server.credit < 1 or (server.name in tried and len(free) > 1)):
+            if handle.count and (server.credit < 1 or (server in tried and len(free) > 1)):
                 continue
             if server.ratio * handle.lane.floor > left and now - server.sent_at < TRIAL:
                 continue
-            expected = server.expected(now)
-            expected += self.facts.cross_zone_price * 4 if server.zone != self.facts.zone else 0.0
-            expected *= 1 + 0.05 * self.random.random()
+            expected = server.expected(now) * (1 + 0.05 * self.random.random())
+            expected += self.facts.cross_zone_price * 4 * (server.zone != self.facts.zone)
             if expected < lowest and self._may_send(now, handle, server) is None:
                 best, lowest = server, expected
         if best is not None:
@@ -560,9 +527,7 @@
         lane, facts, customer = handle.lane, self.facts, handle.customer
         if handle.closed or now >= handle.ends or handle.count >= facts.most_executions:
             return "one final answer"
-        if handle.out and not facts.parallel:
-            return "one execution at a time"
-        if not handle.may_repeat(now):
+        if (handle.out and not facts.parallel) or not handle.may_repeat(now):
             return "no effect twice"
         if lane.effect == "stamped" and lane.group != "all":
             for other, _ in handle.risky.values():
@@ -572,18 +537,13 @@
             return "drains"
         if not self._cold_room(now, server):
             return "cold server"
-        if not handle.count and customer.part_rate > 0:
-            customer.advance(now)
-            if customer.part < handle.units:
-                return "ceiling"
-        return None
+        customer.advance(now)
+        short = not handle.count and customer.part_rate > 0 and customer.part < handle.units
+        return "ceiling" if short else None
 
     def _cold_room(self, now: float, server: AppServer) -> bool:
-        """Whether a cold server's budget has room for one more execution of this gateway.
-
-        Its fellows' answers show at least what this gateway's part of a warm server's ability is; the stated
-        share of that, growing evenly, times the multiple, is the budget of any window.
-        """
+        """Whether a cold server's budget for any window has room: the multiple of its share of what fellows
+        answer for this gateway, which is at most this gateway's part of a warm server's ability."""
         facts, age = self.facts, max(0.0, now - server.started)
         if server.started <= 0 or age >= facts.warm_within:
             return True
@@ -593,15 +553,12 @@
 
     def _send(self, now: float, handle: Submission, server: AppServer) -> None:
         number, customer = handle.count, handle.customer
-        if number:
-            server.credit -= 1
-        elif customer.part_rate > 0:
-            customer.part -= handle.units
+        server.credit -= 1 if number else 0
+        customer.part -= 0 if number else handle.units
         handle.count += 1
         handle.out[number], handle.risky[number] = server, (server, now)
-        server.out[(handle.id, number)] = (now, handle.lane)
+        server.out[(handle.id, number)], server.sent_at = (now, handle.lane), now
         server.sent.add(now, 1.0)
-        server.sent_at = now
         server.cost[customer.key] = server.cost.get(customer.key, 0.0) + handle.units
         customer.out += 1
         self.pulls.add(now, 1.0)
@@ -609,43 +566,37 @@
 
     def _expire(self, now: float) -> None:
         """End early what waits and can no longer be in time; parked pieces of any lane too."""
-        waiting = [queue for _, queue in self.lines] + [customer.parked for customer in self.holding.values()]
+        waiting = [*self.lines.values(), *(customer.parked for customer in self.holding.values())]
         for handle in [handle for queue in waiting for handle in queue if now >= handle.useful]:
             if not handle.closed:
                 self.finish(now, handle)
         for key, customer in list(self.holding.items()):
-            while customer.parked and customer.parked[0].closed:
-                customer.parked.popleft()
+            customer.parked = deque(handle for handle in customer.parked if not handle.closed)
             if customer.parked and customer.room_out(now, customer.parked[0].lane.mean):
                 self._queue(customer.parked.popleft(), True)
             if not customer.parked:
                 del self.holding[key]
 
     def _hurry(self, now: float) -> None:
-        """Give a late execution at a server found slow a further one elsewhere while it can still be in time.
-
-        Guards against servers that stall or accept and never answer. Harm: added work, so credit bounds it.
-        """
+        """Give a late execution at a server found slow a further one elsewhere while it can be in time.
+        Guards against servers that stall or accept and never answer. Harm: added work; credit bounds it."""
         for handle in list(self.open.values()):
             if len(handle.out) != 1 or handle.streaming or handle.lane.effect == "one-shot":
                 continue
             (number, server), = handle.out.items()
             mean, in_time = handle.lane.mean, min(handle.taken + handle.lane.quoted_time, handle.ends)
             late = server.slow > FOUND_SLOW and now - handle.risky[number][1] > PATIENCE * mean
-            if not late or now + mean > in_time or handle.count >= self.facts.most_executions:
+            if not late or now + mean > in_time or not handle.may_repeat(now):
                 continue
             free = [other for other in self._free(now) if other is not server and other.credit >= 1]
             if self.facts.parallel:
                 self._send_best(now, handle, free)
-            elif free and self.facts.may_withdraw and handle.may_repeat(now):
+            elif free and self.facts.may_withdraw and handle.count < self.facts.most_executions:
                 self.results.withdrawn.append((handle.id, number))
 
     def _judge(self, now: float) -> None:
-        """Judge each server by a high quantile of its answer times against its fellows'.
-
-        What is out for long is a sample already, so a server that never answers is seen. With few samples the
-        quantile is drawn towards the fellows'.
-        """
+        """Judge each server by a high quantile of its answer times against its fellows', to whose it is drawn
+        with few samples. What is out for long is a sample already, so one that never answers is seen."""
         quantiles = {}
         for server in self.servers.values():
             ages = [(now - sent) / lane.floor for sent, lane in server.out.values() if now - sent > lane.mean]
@@ -664,7 +615,7 @@
     def _limit(self, now: float) -> None:
         """The limiting rates: ratio x cost sent, split by quota, least over servers, worst zone ignored."""
         ratios = {name: server.throttling_ratio() for name, server in self.servers.items()}
-        zones: dict[str, float] = {}
+        zones: dict[str, float] = {}  # the worst ratio of each
         for name, server in self.servers.items():
             zones[server.zone] = min(zones.get(server.zone, 2.0), ratios[name] or 2.0)
         worst = min(zones, key=lambda zone: (zones[zone], zone)) if len(zones) > 1 else None
@@ -674,11 +625,10 @@
             ratio = ratios[name]
             users = {key: units for key, units in server.cost.items() if key in self.customers}
             quotas = sum(self.customers[key].plan.rate for key in users)
-            if ratio is not None and server.zone != worst and quotas > 0:
-                allowed = ratio * sum(users.values()) / quotas
-                for key, units in users.items():
-                    customer = self.customers[key]
-                    summed = customer.units.rate(now) + customer.others_rate(now)
-                    limit = allowed * customer.plan.rate / units * summed
-                    customer.limiting = min(customer.limiting, limit)
+            limited = ratio is not None and server.zone != worst and quotas > 0
+            allowed = (ratio or 0.0) * sum(users.values()) / (quotas or 1.0)
+            for key, units in users.items() if limited else ():
+                customer = self.customers[key]
+                limit = allowed * customer.plan.rate / units * customer.summed(now)
+                customer.limiting = min(customer.limiting, limit)
             server.cost = {key: units * 0.85 for key, units in users.items() if units > 0.05}
