Leave two mean answer times before the quoted time

In a full line all waited to the last moment and were then answered late. At most 0.6 of the quoted time, so that a slow spell can't refuse everything.

--- a/merlintally/choice.py
+++ b/merlintally/choice.py
@@ -245,7 +245,7 @@
         self.gateway, self.id, self.lane = gateway, submission, lane
         self.customer, self.units = customer, units
         self.count, self.taken, self.ends = 0, now, now + time_left - MARGIN
-        self.useful = min(now + lane.quoted_time - lane.floor, self.ends)
+        self.useful = min(now + lane.quoted_time - min(2 * lane.mean, 0.6 * lane.quoted_time), self.ends)
         self.out: dict[int, AppServer] = {}
         self.risky: dict[int, tuple[AppServer, float]] = {}  # executions that may have run, or may be running
         self.closed = self.beyond = self.streaming = False
