--- a/merlintally/choice.py
+++ b/merlintally/choice.py
@@ -30,7 +30,7 @@
 PACE = (40.0, 4.0, 400.0)  # counter calls a second: at the start, at the least, at the most
 # Servers and line
 SATURATED = 1.6  # answer times over their floor from which a server counts as near saturation
-EASY = 1.15  # below this a server that is kept full gets more places
+EASY = 1.35  # below this a server that is kept full gets more places
 FIRST_PLACES = 3.0  # at each server for all gateways together
 GROWTH = 0.2  # of the first places, gained with an answer that came easily while work waits
 LEAST_PLACES = 0.25  # of one gateway at a server: below 1 only some servers get a piece at a time
