--- a/merlintally/benchlink/__main__.py
+++ b/merlintally/benchlink/__main__.py
@@ -6,7 +6,8 @@
 import traceback
 
 from merlintally.benchlink.codec import Link
-from merlintally.benchlink.framing import Malformed, batches
+from merlintally.benchlink.framing import batches
+from merlintally.fields import Malformed
 
 
 def main() -> int:
--- a/merlintally/benchlink/codec.py
+++ b/merlintally/benchlink/codec.py
@@ -3,103 +3,22 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import TypeVar, cast
+from typing import cast
 
-from merlintally.benchlink.framing import Fields, Malformed, number, split_line, text, truth, whole
+from merlintally.benchlink.framing import split_line
 from merlintally.choice import Gateway, Submission
-from merlintally.interface import (
-    CounterOutcome,
-    Effect,
-    Group,
-    LaneFacts,
-    Outcome,
-    PlanFacts,
-    Presence,
-    Results,
-    ServerFacts,
-    StartFacts,
-)
-
-T = TypeVar("T")
+from merlintally.facts import REPORTED, reported_names, start_facts
+from merlintally.fields import Fields, Malformed, known, number, text, truth, whole
+from merlintally.interface import CounterOutcome, Outcome, Presence, Results, ServerFacts
 
 OUTCOMES: dict[str, Outcome] = {
     "0": "ok", "13": "error", "8": "full", "4": "timed_out",
     "14": "unreachable", "10": "broken", "1": "withdrawn", "9": "moot",
 }
-EFFECTS: dict[str, Effect] = {"repeatable": "harmless", "by_key": "stamped", "once": "one-shot"}
 PRESENCES: dict[str, Presence] = {"on": "on", "fading": "draining", "off": "gone"}
-REPORTED = {
-    "outstanding": "held", "backlog": "waiting", "utilization": "busy",
-    "recent_ms": "answer_time", "throughput": "answers_per_s", "errors_per_s": "errors_per_s",
-}
 ROSTER_MODES = {"D", "F", "C", "X"}
 
 
-def lane_facts(info: Fields, path: str) -> LaneFacts:
-    hard_limit = number(info, path + "deadlineS")
-    return LaneFacts(
-        name=text(info, path + "name"),
-        quoted_time=number(info, path + "aimS", hard_limit),
-        hard_limit=hard_limit,
-        gain=number(info, path + "importance", 1.0),
-        late_gain=number(info, path + "lateWorth", 0.0),
-        effect=known(EFFECTS, info.get(path + "repeat", "once"), path + "repeat"),
-        discard_group=cast(Group, info.get(path + "keyScope", "cell")),
-        remembered=number(info, path + "windowS", 0.0),
-    )
-
-
-def plan_facts(info: Fields, path: str) -> PlanFacts:
-    return PlanFacts(
-        name=text(info, path + "name"),
-        rate=number(info, path + "unitsPerS", 0.0),
-        burst=number(info, path + "mostAtOnce", 0.0),
-        open_limit=int(number(info, path + "atOnce", 0.0)),
-        ceiling_rate=number(info, path + "capRate", 0.0),
-        ceiling_burst=number(info, path + "neverOverDepth", 0.0),
-        ceiling_slack=number(info, path + "tolerance", 0.0),
-        price=number(info, path + "valueFactor", 1.0),
-        beyond_gain=number(info, path + "overWorth", 0.0),
-        beyond_cost=number(info, path + "beyondCosts", 0.0),
-    )
-
-
-def start_facts(info: Fields) -> StartFacts:
-    """What a gateway is told at its start; absent settings take the defaults written here."""
-    return StartFacts(
-        number=whole(info, "slotNo", 0),
-        gateways=whole(info, "balancers", 1),
-        zone=info.get("az", ""),
-        lanes=tuple(lane_facts(info, f"classes.{i}.") for i in range(whole(info, "classes.count", 0))),
-        plans=tuple(plan_facts(info, f"tariffs.{i}.") for i in range(whole(info, "tariffs.count", 0))),
-        largest_units=number(info, "familyInfo.largest", 1.0),
-        settles=truth(info, "familyInfo.postPaid"),
-        may_count=truth(info, "familyInfo.mayCount"),
-        count_time_out=number(info, "familyInfo.countLimitS", 0.05),
-        count_price=number(info, "familyInfo.callPrice", 0.0),
-        may_note=truth(info, "limits.peers"),
-        note_price=number(info, "prices.peer", 0.0),
-        may_withdraw=truth(info, "limits.mayCancel"),
-        parallel=truth(info, "limits.parallelTries"),
-        most_executions=whole(info, "limits.maxAttempts", 1),
-        retry_after_limit=number(info, "limits.maxRetryAfterS", 0.0) * truth(info, "limits.retryAfter"),
-        cross_zone_price=number(info, "prices.crossZone", 0.0),
-        waste_price=number(info, "prices.waste", 0.0),
-        drain_grace=number(info, "rules.drainGraceS", 0.0),
-        cold_share=number(info, "rules.coldFrom", 0.1),
-        warm_within=number(info, "rules.warmWithinS", 30.0),
-        tip_multiple=number(info, "rules.tipMultiple", 1.0),
-        tip_window=number(info, "rules.fallS", 1.0),
-    )
-
-
-def known(table: dict[str, T], word: str, name: str) -> T:
-    try:
-        return table[word]
-    except KeyError:
-        raise Malformed(f"{name} has an unknown value {word!r}") from None
-
-
 def server_facts(fields: Fields) -> ServerFacts:
     return ServerFacts(
         server=text(fields, "server"),
@@ -133,11 +52,7 @@
     """One gateway behind the wire, with the handles of the submissions it still has to do with."""
 
     def __init__(self, info: Fields, salt: int, now: float) -> None:
-        named = whole(info, "report.names.count", -1)
-        listed = info.get("report.names", "").split(",") if named < 0 else [
-            info.get(f"report.names.{i}", "") for i in range(named)
-        ]
-        self.reported = [REPORTED.get(name, name) for name in listed]
+        self.reported = [REPORTED.get(name, name) for name in reported_names(info)]
         self.gateway = Gateway(start_facts(info), salt, now)
         self.handles: dict[int, Submission] = {}
 
--- /dev/null
+++ b/merlintally/net/clients.py
@@ -0,0 +1,236 @@
+"""Clients: the listener, their connections, and the answers they are owed in the order of their commands."""
+
+from __future__ import annotations
+
+import errno
+import socket
+from collections import deque
+from typing import TYPE_CHECKING
+
+import anyio
+from anyio.abc import TaskGroup
+
+from merlintally.fields import Malformed
+from merlintally.interface import Effect
+from merlintally.net.configuration import Bounds, Deployment
+from merlintally.net.log import Log
+from merlintally.net.resp import Span, array_at
+from merlintally.net.sockets import Allowance, Buffer, Stream
+from merlintally.net.taken import COMMANDS, Due, Taken
+from merlintally.net.timers import Clock
+
+if TYPE_CHECKING:
+    from merlintally.net.keeper import Keeper
+
+def plain(wrong: Malformed) -> bytes:
+    """What is wrong, in a form that an error line may carry."""
+    return str(wrong).encode("ascii", "replace").replace(b"\r", b" ").replace(b"\n", b" ")
+
+
+SCARCE = {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM}
+
+
+class Client:
+    """One connection. Guards against answers that overtake: each command has its place among those due."""
+
+    def __init__(self, clients: Clients, sock: socket.socket) -> None:
+        self.clients, self.stream = clients, Stream(sock)
+        self.due: deque[Due] = deque()
+        self.moved_at = clients.clock.now()  # when it last made headway, in either direction
+        self.closing = self.ended = False
+        self._passed = anyio.Event()
+
+    @property
+    def idle(self) -> bool:
+        return not self.due and not self.stream.unsent and self.stream.start == self.stream.end
+
+    async def run(self) -> None:
+        try:
+            while await self.stream.receive():
+                self.moved_at = self.clients.clock.now()
+                await self._read_commands()
+                if self.closing:
+                    self.stream.start = self.stream.end = 0  # only waits for the other side's end
+                await self.clients.held.room()
+        finally:
+            await self._gone()
+
+    async def _read_commands(self) -> None:
+        """Take all commands that have come whole; more than may be open wait unread, as do unread answers."""
+        stream, most = self.stream, self.clients.bounds.pipelined
+        try:
+            while not self.closing and stream.start < stream.end:
+                if len(self.due) >= most or stream.unsent:
+                    self._passed = anyio.Event()
+                    await self._passed.wait()
+                    continue
+                found = array_at(stream.buffer, stream.start, stream.end)
+                if found is None:
+                    if stream.overfull:
+                        raise Malformed("a command is beyond what is allowed")
+                    return
+                spans, stop = found
+                first, stream.start = stream.start, stop
+                if spans:
+                    raw = bytes(memoryview(stream.buffer)[first:stop])
+                    words = [(one[0] - first, one[1] - first) for one in spans if one is not None]
+                    await self._command(raw, words if len(words) == len(spans) else [(0, 0)])
+        except Malformed as wrong:  # the framing is lost: answer what was taken before, and close
+            self.clients.log.say(f"a client's connection is closed: {wrong}")
+            self.due.append(Due([b"-ERR Protocol error: %b\r\n" % plain(wrong)]))
+            self.closing = True
+            self.pass_on()
+
+    async def _command(self, raw: bytes, words: list[Span]) -> None:
+        name, clients = raw[words[0][0]:words[0][1]].upper(), self.clients
+        if name in COMMANDS:
+            try:
+                taken = Taken(self, raw, words, clients.lanes, clients.plans, self.moved_at)
+            except Malformed as wrong:
+                self.due.append(Due([b"-ERR %b\r\n" % plain(wrong)]))
+            else:
+                self.due.append(taken)
+                clients.held.take(len(raw))
+                await clients.keeper.post(clients.keeper.take, taken)
+                return
+        else:
+            self.due.append(Due([self._aside(name)]))
+        self.pass_on()
+
+    def _aside(self, name: bytes) -> bytes:
+        """What is spoken beside submissions."""
+        if name == b"PING":
+            return b"+PONG\r\n" if self.clients.ready else b"-ERR not ready\r\n"
+        if name == b"QUIT":
+            self.closing = True
+        return b"+OK\r\n" if name in (b"CLIENT", b"SELECT", b"QUIT") else b"-ERR unknown command\r\n"
+
+    def pass_on(self) -> None:
+        """Write the answers whose turn has come."""
+        ready: list[Buffer] = []
+        while self.due and self.due[0].answer is not None:
+            due = self.due.popleft()
+            ready.extend(due.answer or ())
+            if isinstance(due, Taken):
+                self.clients.held.give(len(due.raw))
+        if ready and not self.ended:
+            self.moved_at = self.clients.clock.now()
+            try:
+                flushing = bool(self.stream.unsent)
+                if not self.stream.write(ready) and not flushing:
+                    self.clients.group.start_soon(self._flush)
+            except OSError:
+                self.end()
+        if self.closing and not self.due and not self.stream.unsent:
+            self.stream.end_sending()
+        self._passed.set()
+
+    async def _flush(self) -> None:
+        try:
+            await self.stream.flush()
+        except OSError:
+            self.end()
+        self.moved_at = self.clients.clock.now()
+        self.pass_on()
+
+    def end(self) -> None:
+        self.ended = self.closing = True
+        self.stream.hang_up()
+        self._passed.set()
+
+    def close_soon(self) -> None:
+        """Close between submissions: at once where nothing is open, else when the last is answered."""
+        if self.stream.start == self.stream.end:
+            self.closing = True
+            self.pass_on()
+
+    async def _gone(self) -> None:
+        """The client has gone away: whoever owns the decisions is told of all that it waited for."""
+        self.ended = self.closing = True
+        self.stream.close()
+        clients = self.clients
+        clients.connections.pop(self, None)
+        clients.descriptors.give()
+        for due in self.due:
+            if isinstance(due, Taken):
+                clients.held.give(len(due.raw))
+                if due.answer is None:
+                    await clients.keeper.post(clients.keeper.left, due)
+        self.due.clear()
+
+
+class Clients:
+    """The listener and all connections of clients."""
+
+    def __init__(self, deployment: Deployment, keeper: Keeper, clock: Clock, log: Log, group: TaskGroup,
+                 descriptors: Allowance) -> None:
+        self.bounds: Bounds = deployment.bounds
+        self.keeper, self.clock, self.log, self.group = keeper, clock, log, group
+        self.descriptors, self.held = descriptors, Allowance(deployment.bounds.held_bytes)
+        self.lanes: dict[str, Effect] = {lane.name: lane.effect for lane in deployment.facts.lanes}
+        self.plans = frozenset(plan.name for plan in deployment.facts.plans)
+        self.connections: dict[Client, None] = {}
+        self.ready = True
+        self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.listener.setblocking(False)
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.listener.bind(deployment.listen)
+        self.listener.listen(1024)
+
+    async def accept(self) -> None:
+        """Take connections; at the most that may be, an idle one gives way, else new ones wait outside."""
+        while True:
+            if self.descriptors.full:
+                self.give_way()
+                await self.descriptors.room()
+            await anyio.wait_readable(self.listener)
+            scarce = self.accept_all()
+            if scarce:  # guards against a loop that spins on a listener it can't accept from
+                self.log.say(f"no connection can be accepted: {scarce.strerror}")
+                self.give_way()
+                await anyio.sleep(0.05)
+
+    def accept_all(self) -> OSError | None:
+        while not self.descriptors.full:
+            try:
+                sock, _ = self.listener.accept()
+            except (BlockingIOError, InterruptedError):
+                return None
+            except OSError as wrong:
+                if wrong.errno in SCARCE:
+                    return wrong
+                continue  # the client went away before it was accepted
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self.descriptors.take()
+            client = Client(self, sock)
+            self.connections[client] = None
+            self.group.start_soon(client.run)
+        return None
+
+    def give_way(self) -> None:
+        """Close the connection that has been idle for longest."""
+        idle = [client for client in self.connections if client.idle and not client.closing]
+        if idle:
+            min(idle, key=lambda client: client.moved_at).end()
+
+    def sweep(self) -> None:
+        now = self.clock.now()
+        for client in list(self.connections):
+            still = now - client.moved_at
+            if client.idle:
+                if client.closing and still > self.bounds.client_stall_s:
+                    client.end()
+                elif still > self.bounds.client_idle_s:
+                    client.close_soon()
+            elif still > self.bounds.client_stall_s and (client.stream.unsent or not client.due):
+                client.end()
+
+    def stop_listening(self) -> None:
+        """Guards against connections lost between the kernel and the node: all that came are taken first."""
+        self.accept_all()
+        self.listener.close()
+
+    def close_soon(self) -> None:
+        for client in list(self.connections):
+            client.close_soon()
--- /dev/null
+++ b/merlintally/net/configuration.py
@@ -0,0 +1,236 @@
+"""What the node is told at its start: read, checked and given defaults here and nowhere else."""
+
+from __future__ import annotations
+
+import json
+import re
+from collections.abc import Mapping
+from dataclasses import dataclass, field, fields
+from typing import Any
+
+from merlintally.facts import REPORTED, reported_names, start_facts
+from merlintally.fields import Fields, Malformed, known, number, text, whole
+from merlintally.interface import Presence, ServerFacts, StartFacts
+
+Address = tuple[str, int]
+PRESENCES: dict[str, Presence] = {"SERVING": "on", "DRAINING": "draining", "DELETED": "gone"}
+
+
+class Faulty(Exception):
+    """The configuration can't be used; the text is one plain line that names the key."""
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """What the node allows itself: the object `node` of the configuration may set each of these."""
+
+    queue: int = 2048  # calls that wait for the task that owns the decisions
+    client_idle_s: float = 120.0  # a client's connection that stands idle for as long is closed
+    client_stall_s: float = 10.0  # and one on which a command or an answer makes no headway
+    pipelined: int = 32  # commands of one connection that are open at once
+    held_bytes: int = 32 << 20  # of commands and answers held; beyond it nothing more is read
+    client_share: float = 0.7  # of the descriptors, for clients
+    idle_share: float = 0.4  # of the app servers' stated idle time, after which a connection is retired
+    counter_silence_s: float = 1.0  # without an answer that is due, after which its connection is given up
+    counter_calls: int = 1024  # calls to the counter that are out at once
+    watch_s: float = 10.0  # for which a watch on discovery may wait
+    answer_s: float = 1.0  # for which discovery may take beyond that
+    again_s: float = 0.1  # until a broken connection to discovery is tried again
+    leave_s: float = 0.5  # for which submissions are still taken after being told to stop
+    finish_s: float = 3.4  # after which all that is still open is ended
+    late_s: float = 0.1  # by which the loop may run late unsaid
+    log_lines: float = 20.0  # a second
+
+
+@dataclass(frozen=True, slots=True)
+class Listed:
+    """An app server as discovery tells of it: what the decisions are told, and where it listens."""
+
+    facts: ServerFacts
+    address: Address | None
+
+
+@dataclass(frozen=True, slots=True)
+class Deployment:
+    """All that one edge node is told."""
+
+    name: str
+    listen: Address
+    discovery: Address
+    counter: Address | None
+    peer_listen: Address | None
+    peers: tuple[Address, ...]
+    peers_all: Address | None
+    seed: int
+    sockets: int
+    known: tuple[Listed, ...]
+    known_index: int | None
+    facts: StartFacts
+    reported: tuple[str, ...]  # fields of a load report, by their names in the decisions
+    streaming: frozenset[str]
+    most_open: int
+    connect_time_out: float
+    idle_close: float
+    bounds: Bounds = field(default_factory=Bounds)
+
+
+def address(value: object, key: str) -> Address:
+    """
+    >>> address("10.0.0.4:6379", "listen")
+    ('10.0.0.4', 6379)
+    """
+    found = re.fullmatch(r"\[?([0-9A-Za-z.:-]+?)\]?:([0-9]{1,5})", value) if isinstance(value, str) else None
+    if not found or not 0 < int(found[2]) < 65536:
+        raise Faulty(f"{key}: {value!r} is no address of the form host:port")
+    return found[1], int(found[2])
+
+
+def flat(value: object, path: str = "") -> Fields:
+    """Nested JSON as path=value, lists with a count.
+
+    >>> flat({"a": [{"b": 1.5}], "c": True})
+    {'a.count': '1', 'a.0.b': '1.5', 'c': 'true'}
+    """
+    if isinstance(value, dict):
+        return {k: v for name, one in value.items() for k, v in flat(one, f"{path}{name}.").items()}
+    if isinstance(value, list):
+        rows = {f"{path}count": str(len(value))}
+        return rows | {k: v for at, one in enumerate(value) for k, v in flat(one, f"{path}{at}.").items()}
+    key = path[:-1]
+    if isinstance(value, bool):
+        return {key: "true" if value else "false"}
+    return {} if value is None else {key: str(value)}
+
+
+def listed(entry: object) -> Listed:
+    """One app server, as discovery's list or `known` has it."""
+    if not isinstance(entry, Mapping):
+        raise Malformed(f"an app server is no object but {entry!r:.60}")
+    values = flat(dict(entry))
+    status = known(PRESENCES, text(values, "status"), "status")
+    facts = ServerFacts(
+        server=text(values, "name"), presence=status, zone=values.get("zone", ""),
+        cell=whole(values, "group", 0), started=number(values, "since_ms", 0.0) / 1000,
+        size=number(values, "weight", 1.0), machine=values.get("type", ""),
+    )
+    try:
+        where = address(entry["address"], "address") if "address" in entry or status != "gone" else None
+    except (Faulty, KeyError) as wrong:
+        raise Malformed(f"app server {facts.server}: {wrong}") from None
+    return Listed(facts, where)
+
+
+def page(document: object) -> tuple[int, bool, list[Listed]]:
+    """An answer of discovery: version, whether it is the whole list, and the entries."""
+    if not isinstance(document, Mapping) or not isinstance(document.get("endpoints"), list):
+        raise Malformed("no list of endpoints")
+    index = document.get("index")
+    if not isinstance(index, int):
+        raise Malformed(f"field 'index' is not a whole number: {index!r}")
+    return index, document.get("snapshot") is True, [listed(entry) for entry in document["endpoints"]]
+
+
+def bounds_of(given: object) -> Bounds:
+    if not isinstance(given, Mapping):
+        raise Faulty("node: is no object")
+    rows = {row.name: row.default for row in fields(Bounds)}
+    for name, value in given.items():
+        if name not in rows:
+            raise Faulty(f"node.{name}: there is no such key")
+        if isinstance(value, bool) or not isinstance(value, int | float) or not 0 < value < 1e12:
+            raise Faulty(f"node.{name}: {value!r} is no number above 0")
+        if isinstance(rows[name], int) and not isinstance(value, int):
+            raise Faulty(f"node.{name}: {value!r} is no whole number")
+    if given.get("client_share", 0) >= 1 or given.get("idle_share", 0) >= 1:
+        raise Faulty("node.client_share, node.idle_share: a share is below 1")
+    return Bounds(**given)
+
+
+def check_facts(facts: StartFacts) -> None:
+    """What the decisions could not work with, by the key it came from."""
+    if not facts.lanes:
+        raise Faulty("settings.classes: is missing or empty")
+    if not facts.plans:
+        raise Faulty("settings.tariffs: is missing or empty")
+    for at, lane in enumerate(facts.lanes):
+        if min(lane.quoted_time, lane.hard_limit) <= 0:
+            raise Faulty(f"settings.classes.{at}: aimS and deadlineS must be above 0")
+    for at, plan in enumerate(facts.plans):
+        if min(plan.rate, plan.burst, plan.open_limit, plan.ceiling_rate, plan.ceiling_burst) < 0:
+            raise Faulty(f"settings.tariffs.{at}: a quota is below 0")
+    for key, value, least in (("balancers", facts.gateways, 1), ("slotNo", facts.number, 0),
+                              ("limits.maxAttempts", facts.most_executions, 1)):
+        if value < least:
+            raise Faulty(f"settings.{key}: {value!r} is below {least}")
+    if min(facts.warm_within, facts.tip_window, facts.tip_multiple) <= 0:
+        raise Faulty("settings.rules: warmWithinS, fallS and tipMultiple must be above 0")
+
+
+def deployment_of(given: object, environment: Mapping[str, str]) -> Deployment:
+    """Check what was read; the variables stand in for keys that the file lacks."""
+    if not isinstance(given, Mapping):
+        raise Faulty("the configuration is no JSON object")
+
+    def value(key: str, variable: str = "") -> Any:
+        found = given.get(key, environment.get(variable))
+        if found is None:
+            raise Faulty(f"{key}: is missing")
+        return found
+
+    def optional(key: str) -> Address | None:
+        return address(given[key], key) if given.get(key) is not None else None
+
+    if not isinstance(value("settings"), Mapping):
+        raise Faulty("settings: is no object")
+    info = flat(given["settings"])
+    try:
+        facts = start_facts(info)
+        most_open = whole(info, "limits.maxOpen", 20000)
+        connect_time_out = number(info, "limits.connectTimeoutS", 0.25)
+        idle_close = number(info, "limits.idleCloseS", 15.0)
+        streaming = frozenset(
+            lane.name for at, lane in enumerate(facts.lanes) if info.get(f"classes.{at}.streaming") == "true")
+    except Malformed as wrong:
+        raise Faulty(f"settings: {wrong}") from None
+    check_facts(facts)
+    try:
+        index, _, servers = page(given["known"]) if given.get("known") is not None else (None, True, [])
+    except Malformed as wrong:
+        raise Faulty(f"known: {wrong}") from None
+    seed, peers, limits = value("seed"), given.get("peers", []), given.get("limits", {})
+    try:
+        seed = int(seed, 16) if isinstance(seed, str) else int(seed)
+    except (TypeError, ValueError):
+        raise Faulty(f"seed: {seed!r} is no number in hex digits") from None
+    if not isinstance(peers, list):
+        raise Faulty("peers: is no list")
+    sockets = limits.get("sockets", 1024) if isinstance(limits, Mapping) else None
+    if not isinstance(sockets, int) or sockets < 64:
+        raise Faulty(f"limits.sockets: {sockets!r} is no whole number of 64 or more")
+    if facts.may_count and given.get("counter") is None:
+        raise Faulty("counter: is missing, and settings.familyInfo.mayCount says that there is one")
+    return Deployment(
+        name=str(value("name", "LB_NAME")), listen=address(value("listen", "LB_LISTEN"), "listen"),
+        discovery=address(value("discovery", "LB_DISCOVERY"), "discovery"), counter=optional("counter"),
+        peer_listen=optional("peer_listen"), peers_all=optional("peers_all"),
+        peers=tuple(address(one, f"peers.{at}") for at, one in enumerate(peers)), seed=seed, sockets=sockets,
+        known=tuple(servers), known_index=index, facts=facts,
+        reported=tuple(REPORTED.get(name, name) for name in reported_names(info)), streaming=streaming,
+        most_open=most_open, connect_time_out=connect_time_out, idle_close=idle_close,
+        bounds=bounds_of(given.get("node", {})),
+    )
+
+
+def read_deployment(environment: Mapping[str, str]) -> Deployment:
+    """Read the file that LB_CONFIG names."""
+    path = environment.get("LB_CONFIG")
+    if not path:
+        raise Faulty("LB_CONFIG: the variable is not set")
+    try:
+        with open(path, encoding="utf-8") as file:
+            given = json.load(file)
+    except OSError as wrong:
+        raise Faulty(f"LB_CONFIG: {path} can't be read: {wrong.strerror}") from None
+    except ValueError as wrong:
+        raise Faulty(f"LB_CONFIG: {path} is no JSON: {wrong}") from None
+    return deployment_of(given, environment)
--- /dev/null
+++ b/merlintally/net/discovery.py
@@ -0,0 +1,107 @@
+"""Discovery: the whole list of app servers, then one watch after another, over HTTP/1.1."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+
+import anyio
+import h11
+
+from merlintally.fields import Malformed
+from merlintally.net.configuration import Address, Bounds, page
+from merlintally.net.log import Log
+from merlintally.net.sockets import Stream, connect, tcp_socket
+
+if TYPE_CHECKING:
+    from merlintally.net.keeper import Keeper
+
+MOST_BODY = 8 << 20  # bytes of one answer
+
+
+class Discovery:
+    """Follows the list. Whatever breaks ends the connection; the next goes on from the version held."""
+
+    def __init__(self, where: Address, bounds: Bounds, keeper: Keeper, log: Log) -> None:
+        self.where, self.bounds, self.keeper, self.log = where, bounds, keeper, log
+        self.version: int | None = None  # of the list that the node has; None: the whole list is needed
+        self.broken = False
+
+    async def run(self) -> None:
+        while True:
+            try:
+                await self._follow()
+            except Malformed as wrong:
+                self.version = None
+                self._complain(str(wrong))
+            except (OSError, h11.RemoteProtocolError) as wrong:
+                self._complain(str(wrong))
+            await anyio.sleep(self.bounds.again_s)
+
+    def _complain(self, wrong: str) -> None:
+        if not self.broken:  # once for each time that it breaks
+            self.log.say(f"discovery: {wrong}; the last list goes on being used")
+        self.broken = True
+
+    async def _follow(self) -> None:
+        stream = Stream(tcp_socket())
+        try:
+            with anyio.move_on_after(self.bounds.answer_s) as limit:
+                await connect(stream.sock, self.where)
+            if limit.cancelled_caught:
+                raise OSError("no connection comes up")
+            connection = h11.Connection(h11.CLIENT, max_incomplete_event_size=64 << 10)
+            while True:
+                target, wait = "/v1/servers", 0.0
+                if self.version is not None:
+                    wait = self.bounds.watch_s
+                    target += f"?since={self.version}&timeout_ms={int(wait * 1000)}"
+                with anyio.move_on_after(wait + self.bounds.answer_s) as limit:
+                    body = await self._get(stream, connection, target)
+                if limit.cancelled_caught:
+                    raise OSError("silent")
+                await self._take(body)
+                if connection.our_state is h11.MUST_CLOSE or connection.their_state is not h11.DONE:
+                    return
+                connection.start_next_cycle()
+        finally:
+            stream.close()
+
+    async def _get(self, stream: Stream, connection: h11.Connection, target: str) -> bytes:
+        host = f"{self.where[0]}:{self.where[1]}"
+        headers = [("Host", host), ("Accept", "application/json")]
+        request = h11.Request(method="GET", target=target, headers=headers)
+        head = connection.send(request) or b""
+        connection.send(h11.EndOfMessage())
+        if not stream.write([head]):
+            await stream.flush()
+        body, status = bytearray(), 0
+        while True:
+            event = connection.next_event()
+            if event is h11.NEED_DATA:
+                await stream.receive()
+                connection.receive_data(bytes(stream.buffer[stream.start:stream.end]))
+                stream.start = stream.end = 0
+            elif isinstance(event, h11.Response):
+                status = event.status_code
+            elif isinstance(event, h11.Data):
+                body += event.data
+                if len(body) > MOST_BODY:
+                    raise Malformed("an answer is beyond what is allowed")
+            elif isinstance(event, h11.EndOfMessage):
+                if status != 200:
+                    raise Malformed(f"status {status}")
+                return bytes(body)
+            elif isinstance(event, h11.ConnectionClosed):
+                raise OSError("the connection ended")
+
+    async def _take(self, body: bytes) -> None:
+        try:
+            index, complete, entries = page(json.loads(body))
+        except ValueError:
+            raise Malformed("an answer is no JSON") from None
+        if not complete and self.version is None:
+            raise Malformed("the whole list was asked for, and changes came")
+        self.version, self.broken = index, False
+        if entries or complete:
+            await self.keeper.post(self.keeper.listed, entries, complete)
--- /dev/null
+++ b/merlintally/net/keeper.py
@@ -0,0 +1,201 @@
+"""The one task that owns the decisions. Socket code reaches them through its queue only."""
+
+from __future__ import annotations
+
+import traceback
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+
+from merlintally.choice import Gateway
+from merlintally.interface import CounterOutcome
+from merlintally.net.configuration import Deployment, Listed
+from merlintally.net.counter import Counter
+from merlintally.net.log import Log
+from merlintally.net.peers import Peers
+from merlintally.net.servers import Answer, Execution, Fleet
+from merlintally.net.sockets import Buffer
+from merlintally.net.taken import Taken
+from merlintally.net.timers import Clock, Timers
+
+GIVEN_UP: list[Buffer] = [b"-ERR given up\r\n"]
+BUSY: list[Buffer] = [b"-BUSY\r\n"]
+
+
+class Keeper:
+    """Turns what comes through the queue into calls on the decisions, and carries out what they want done.
+
+    `post` is for everyone else; the other methods run in the keeper's own task.
+    """
+
+    def __init__(self, deployment: Deployment, clock: Clock, log: Log) -> None:
+        self.clock, self.log, self.most_open = clock, log, deployment.most_open
+        self.gateway = Gateway(deployment.facts, deployment.seed, clock.now())
+        self.fleet: Fleet
+        self.timers: Timers
+        self.counter: Counter | None = None
+        self.peers: Peers | None = None
+        self.taken: dict[int, Taken] = {}
+        self.last_number = 0
+        self.soon: deque[tuple[Callable[..., None], tuple[Any, ...]]] = deque()  # the keeper's own calls
+        self._send, self._calls = anyio.create_memory_object_stream[
+            tuple[Callable[..., None], tuple[Any, ...]]](deployment.bounds.queue)
+        self.emptied = anyio.Event()
+
+    async def post(self, call: Callable[..., None], *args: Any) -> None:
+        """Put a call in the queue; while it is full the caller waits, and reads no more."""
+        try:
+            self._send.send_nowait((call, args))
+        except anyio.WouldBlock:
+            await self._send.send((call, args))
+
+    async def run(self) -> None:
+        async for call, args in self._calls:
+            self._do(call, args)
+            while True:
+                try:
+                    call, args = self._calls.receive_nowait()
+                except anyio.WouldBlock:
+                    break
+                self._do(call, args)
+            self.carry_out()
+
+    def _do(self, call: Callable[..., None], args: tuple[Any, ...]) -> None:
+        """Guards against one bad event that takes the node, and all it holds, with it."""
+        try:
+            call(*args)
+        except Exception:
+            self.log.say(f"a call failed: {traceback.format_exc()}")
+
+    def carry_out(self) -> None:
+        """Do what the decisions want, sends first, so that a later row may name them."""
+        while True:
+            now = self.clock.now()
+            results = self.gateway.take_results(now)
+            for line in results.logs:
+                self.log.say(line)
+            for number, server, time_out in results.sends:
+                self._begin(number, server, time_out, now)
+            for number, wait in results.bounced:
+                self._answer(number, [b"-BUSY %d\r\n" % max(1, int(wait * 1000))] if wait > 0 else BUSY)
+            for number in results.given_up:
+                self._answer(number, GIVEN_UP)
+            for number, execution in results.withdrawn:
+                self._call_off(number, execution)
+            for name, amount, keep in results.adds:
+                if self.counter is None or not self.counter.add(name, amount, keep):
+                    self.soon.append((self.counted, (name, "unreachable", 0.0, 0.0)))
+            for note in results.notes:
+                if self.peers is not None:
+                    self.peers.tell(note)
+            if results.wake_after is not None:
+                self.timers.at(now + results.wake_after, self.woken)
+            if not self.soon:
+                break
+            while self.soon:
+                self._do(*self.soon.popleft())
+        if not self.taken:
+            self.emptied.set()
+
+    # What comes through the queue.
+
+    def take(self, taken: Taken) -> None:
+        if len(self.taken) >= self.most_open:
+            self._pass_on(taken, BUSY)
+            return
+        now = self.clock.now()
+        taken.number = self.last_number = self.last_number + 1
+        self.taken[taken.number] = taken
+        try:
+            taken.handle = self.gateway.take(now, taken.number, taken.lane, taken.customer, taken.plan,
+                                             taken.ends - now, taken.units, taken.spread)
+        finally:
+            if taken.handle is None:
+                self._answer(taken.number, GIVEN_UP)
+
+    def left(self, taken: Taken) -> None:
+        """Its client has gone away."""
+        taken.gone = True
+        if taken.handle is not None and taken.answer is None:
+            taken.handle.left(self.clock.now())
+        self._forget(taken)
+
+    def ended(self, execution: Execution, answer: Answer) -> None:
+        """An execution has ended; its first good answer is the submission's."""
+        if execution.over:
+            return
+        execution.over = True
+        taken, now = execution.taken, self.clock.now()
+        taken.out.pop(execution.number, None)
+        if answer.outcome == "ok" and taken.answer is None:
+            self._pass_on(taken, [answer.value])
+        if taken.handle is not None:
+            taken.handle.ended(now, execution.number, answer.outcome, now - execution.began,
+                               taken.answer is not None or taken.gone, answer.actual, answer.report)
+        self._forget(taken)
+
+    def expired(self, execution: Execution) -> None:
+        """The node stops waiting for an execution; an answer that is already in the queue still counts."""
+        if not execution.over and not execution.answered:
+            self.fleet.call_off(execution)
+            self.ended(execution, Answer("timed_out" if execution.written else "unreachable"))
+
+    def listed(self, entries: list[Listed], complete: bool) -> None:
+        self.fleet.roster(entries, complete)
+        self.gateway.roster(self.clock.now(), [entry.facts for entry in entries], complete)
+
+    def counted(self, name: int, outcome: CounterOutcome, total: float, elapsed: float) -> None:
+        self.gateway.counted(self.clock.now(), name, outcome, total, elapsed)
+
+    def noted(self, peer: int, payload: bytes) -> None:
+        self.gateway.noted(self.clock.now(), peer, payload)
+
+    def woken(self) -> None:
+        self.gateway.wake(self.clock.now())
+
+    def end_all(self) -> None:
+        """The node has to go: whatever is still open gets the answer that it may have."""
+        now = self.clock.now()
+        for taken in list(self.taken.values()):
+            if taken.handle is not None and not taken.handle.closed:
+                self.gateway.finish(now, taken.handle)
+
+    # What the decisions want done.
+
+    def _begin(self, number: int, server: str, time_out: float, now: float) -> None:
+        taken = self.taken[number]
+        until = min(taken.ends, now + time_out) if time_out else taken.ends
+        handle = taken.handle
+        count = taken.sent = taken.sent + 1
+        execution = Execution(taken, count - 1, now, until)
+        taken.out[execution.number] = execution
+        assert handle is not None
+        if self.fleet.send(server, execution):
+            self.timers.at(until, self.expired, execution)
+        else:
+            self.soon.append((self.ended, (execution, Answer("unreachable"))))
+
+    def _call_off(self, number: int, execution_number: int) -> None:
+        taken = self.taken.get(number)
+        execution = taken.out.get(execution_number) if taken else None
+        if execution is not None and not execution.answered:
+            self.fleet.call_off(execution)
+            self.soon.append((self.ended, (execution, Answer("withdrawn"))))
+
+    def _answer(self, number: int, answer: list[Buffer]) -> None:
+        taken = self.taken.get(number)
+        if taken is not None:
+            self._pass_on(taken, answer)
+            self._forget(taken)
+
+    def _pass_on(self, taken: Taken, answer: list[Buffer]) -> None:
+        """The final answer of a submission: the first one, and never another."""
+        if taken.answer is None and not taken.gone:
+            taken.answer = answer
+            taken.client.pass_on()
+
+    def _forget(self, taken: Taken) -> None:
+        if not taken.out and (taken.gone or taken.answer is not None):
+            self.taken.pop(taken.number, None)
--- /dev/null
+++ b/merlintally/net/peers.py
@@ -0,0 +1,50 @@
+"""The other edge nodes: short datagrams that may come late or not at all."""
+
+from __future__ import annotations
+
+import socket
+from contextlib import suppress
+from typing import TYPE_CHECKING
+
+import anyio
+
+from merlintally.net.configuration import Address
+from merlintally.net.log import Log
+
+if TYPE_CHECKING:
+    from merlintally.net.keeper import Keeper
+
+MOST = 256  # bytes of a datagram, by the protocol
+
+
+class Peers:
+    def __init__(self, listen: Address, peers: tuple[Address, ...], everyone: Address | None,
+                 keeper: Keeper, log: Log) -> None:
+        self.numbers = {peer: number for number, peer in enumerate(peers)}
+        self.everyone, self.keeper, self.log = everyone, keeper, log
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.sock.setblocking(False)
+        self.sock.bind(listen)
+
+    def tell(self, payload: bytes) -> None:
+        """To all others; what can't be sent now is lost, as it may be on its way."""
+        if self.everyone is None or len(payload) > MOST:
+            self.log.say(f"a note of {len(payload)} bytes can't be sent")
+            return
+        with suppress(OSError):
+            self.sock.sendto(payload, self.everyone)
+
+    async def run(self) -> None:
+        while True:
+            await anyio.wait_readable(self.sock)
+            try:
+                payload, sender = self.sock.recvfrom(MOST + 1)
+            except OSError:
+                continue
+            number = self.numbers.get(sender)
+            if number is not None and len(payload) <= MOST:  # anything else is dropped
+                await self.keeper.post(self.keeper.noted, number, payload)
+
+    def close(self) -> None:
+        anyio.notify_closing(self.sock)
+        self.sock.close()
--- /dev/null
+++ b/merlintally/net/servers.py
@@ -0,0 +1,289 @@
+"""App servers: their connections, one execution on each at a time, and how executions end."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Iterable
+from typing import TYPE_CHECKING, NamedTuple
+
+import anyio
+from anyio.abc import TaskGroup
+
+from merlintally.fields import Malformed
+from merlintally.interface import LoadReport, Outcome, Presence
+from merlintally.net.configuration import Address, Deployment, Listed
+from merlintally.net.log import Log
+from merlintally.net.resp import array_at, line_end
+from merlintally.net.sockets import Allowance, Stream, connect, tcp_socket
+from merlintally.net.taken import Taken
+from merlintally.net.timers import Clock
+
+if TYPE_CHECKING:
+    from merlintally.net.keeper import Keeper
+
+FIGURE = re.compile(r"([a-z0-9_]+)=(-?[0-9.]+)")
+
+
+class Answer(NamedTuple):
+    """What an app server said of an execution; `value` is the bulk string as it came."""
+
+    outcome: Outcome
+    value: bytes = b""
+    actual: float = 0.0
+    report: LoadReport | None = None
+
+
+def figures(row: str) -> dict[str, float]:
+    """
+    >>> figures("used=37,cost=4")
+    {'used': 37.0, 'cost': 4.0}
+    """
+    try:
+        return {name: float(value) for name, value in FIGURE.findall(row)}
+    except ValueError:
+        raise Malformed("the figures of an answer are no numbers") from None
+
+
+def answer_at(buffer: bytearray, start: int, end: int, reported: frozenset[str],
+              names: dict[str, str]) -> tuple[Answer, int] | None:
+    """The answer at `start` and where it ends; None while it is not whole."""
+    if start >= end:
+        return None
+    if buffer[start] == 0x2D:
+        stop = line_end(buffer, start, end)
+        if stop is None:
+            return None
+        words = bytes(buffer[start + 1:stop]).decode("ascii", "replace").split(" ")
+        report = report_of(words[-1], reported, names) if "=" in words[-1] else None
+        return Answer("full" if words[0] == "BUSY" else "error", report=report), stop + 2
+    found = array_at(buffer, start, end)
+    if found is None:
+        return None
+    spans, stop = found
+    if not spans or spans[0] is None:
+        raise Malformed("an answer has no value")
+    rows = [bytes(buffer[a:b]).decode("ascii", "replace") if one else "" for one in spans[1:3]
+            for a, b in [one or (0, 0)]]
+    actual = figures(rows[0]).get("cost", 0.0) if rows else 0.0
+    report = report_of(rows[1], reported, names) if len(rows) > 1 and rows[1] else None
+    first, last = spans[0]
+    value = b"$%d\r\n%b\r\n" % (last - first, bytes(buffer[first:last]))
+    return Answer("ok", value, actual, report), stop
+
+
+def report_of(row: str, reported: frozenset[str], names: dict[str, str]) -> LoadReport | None:
+    """The load report in a row, of the fields that the settings name."""
+    found = {names.get(name, name): value for name, value in figures(row).items()}
+    return {name: value for name, value in found.items() if name in reported} or None
+
+
+class Execution:
+    """One execution of a submission at an app server."""
+
+    __slots__ = ("taken", "number", "began", "until", "link", "written", "answered", "over")
+
+    def __init__(self, taken: Taken, number: int, began: float, until: float) -> None:
+        self.taken, self.number, self.began, self.until = taken, number, began, until
+        self.link: Link | None = None
+        self.written = False  # its last byte is written: from then on it may have run
+        self.answered = False  # its end is on its way to the owner of the decisions
+        self.over = False
+
+
+class Link:
+    """One connection to an app server. It carries one execution at a time, so that none waits for another's
+    answer, and calling one off, which closes the connection, ends no other."""
+
+    def __init__(self, fleet: Fleet, server: Server, execution: Execution) -> None:
+        self.fleet, self.server = fleet, server
+        self.execution: Execution | None = execution
+        self.stream = Stream(tcp_socket())
+        self.idle_since, self.dead, self.connected = 0.0, False, False
+        execution.link = self
+
+    async def run(self) -> None:
+        try:
+            await self._serve()
+        except Malformed as wrong:
+            self.fleet.log.say(f"app server {self.server.name}: {wrong}; the connection is closed")
+        except OSError:
+            pass
+        finally:
+            self.dead = True
+            self.stream.close()
+            self.fleet.forget(self)
+            if (execution := self.execution) is not None:
+                self.execution = None
+                await self.fleet.report(execution, Answer("broken" if execution.written else "unreachable"))
+
+    async def _serve(self) -> None:
+        with anyio.move_on_after(self.fleet.connect_time_out) as limit:
+            await connect(self.stream.sock, self.server.address)
+        if limit.cancelled_caught or self.dead:
+            return
+        self.connected = True
+        if self.execution is None:  # called off while it connected: the next one may use it
+            self.fleet.rest(self)
+        else:
+            self.begin(self.execution)
+        while await self.stream.receive():
+            fleet, stream = self.fleet, self.stream
+            found = answer_at(stream.buffer, stream.start, stream.end, fleet.reported, fleet.names)
+            if found is None:
+                if stream.overfull:
+                    raise Malformed("an answer is beyond what is allowed")
+                continue
+            answer, stream.start = found
+            execution, self.execution = self.execution, None
+            if execution is None or not execution.written:
+                self.execution = execution
+                raise Malformed("an answer came to no question")
+            if stream.start < stream.end:
+                self.dead = True
+            execution.answered = True
+            if not self.dead:
+                self.fleet.rest(self)
+            await fleet.report(execution, answer)
+            if self.dead:
+                return
+
+    def begin(self, execution: Execution) -> None:
+        """Write an execution out; when that fails before its last byte, it has never run."""
+        self.execution, execution.link = execution, self
+        try:
+            execution.written = self.stream.write(
+                execution.taken.message(execution.until - self.fleet.clock.now()))
+        except OSError:
+            self.end()
+            return
+        if not execution.written:
+            self.fleet.group.start_soon(self._flush, execution)
+
+    async def _flush(self, execution: Execution) -> None:
+        try:
+            await self.stream.flush()
+            execution.written = not self.stream.unsent
+        except OSError:
+            self.end()
+
+    def end(self) -> None:
+        """End the connection at once; its task closes it."""
+        self.dead = True
+        self.stream.hang_up()
+
+
+class Server:
+    """Where one app server listens, and this node's connections to it."""
+
+    def __init__(self, name: str, address: Address) -> None:
+        self.name, self.address, self.started = name, address, 0.0
+        self.presence: Presence = "on"
+        self.links: dict[Link, None] = {}
+        self.idle: list[Link] = []  # the last used at the end
+
+
+class Fleet:
+    """All app servers that discovery has named."""
+
+    def __init__(self, deployment: Deployment, keeper: Keeper, clock: Clock, log: Log, group: TaskGroup,
+                 descriptors: Allowance, names: dict[str, str]) -> None:
+        self.keeper, self.clock, self.log, self.group = keeper, clock, log, group
+        self.descriptors, self.names = descriptors, names
+        self.reported = frozenset(deployment.reported)
+        self.connect_time_out = deployment.connect_time_out
+        self.retire_after = deployment.idle_close * deployment.bounds.idle_share
+        self.servers: dict[str, Server] = {}
+
+    def roster(self, entries: Iterable[Listed], complete: bool) -> None:
+        """Take a list or its changes. What drains or is gone keeps its executions and gets nothing more."""
+        named = set()
+        for entry in entries:
+            name, server = entry.facts.server, self.servers.get(entry.facts.server)
+            named.add(name)
+            if server is None:
+                if entry.address is None:
+                    continue
+                server = self.servers[name] = Server(name, entry.address)
+            moved = entry.address is not None and entry.address != server.address
+            if moved or entry.facts.started > server.started or entry.facts.presence != "on":
+                self._drop_unused(server)
+            server.address, server.presence = entry.address or server.address, entry.facts.presence
+            server.started = entry.facts.started
+        for server in list(self.servers.values()):
+            if complete and server.name not in named:
+                server.presence = "gone"
+                self._drop_unused(server)
+            if server.presence == "gone" and not server.links:
+                del self.servers[server.name]
+
+    def _drop_unused(self, server: Server) -> None:
+        """End what stands idle, and what has still to connect: it must not send after the drain's grace."""
+        for link in list(server.links):
+            if not link.connected or link.execution is None:
+                link.end()
+        server.idle.clear()
+
+    def send(self, name: str, execution: Execution) -> bool:
+        """Begin an execution; False if it can't be and has never run."""
+        server = self.servers.get(name)
+        if server is None or server.presence != "on":
+            return False
+        while server.idle:
+            link = server.idle.pop()
+            if not link.dead and link.stream.alive():  # guards against one that its server has closed
+                link.begin(execution)
+                return True
+            link.end()
+        if self.descriptors.full:
+            self._give_way()
+        if self.descriptors.full:
+            self.log.say("no descriptors are left for connections to app servers")
+            return False
+        try:
+            link = Link(self, server, execution)
+        except OSError as wrong:
+            self.log.say(f"no connection can be opened: {wrong.strerror}")
+            return False
+        self.descriptors.take()
+        server.links[link] = None
+        self.group.start_soon(link.run)
+        return True
+
+    def call_off(self, execution: Execution) -> None:
+        """Stop waiting: the connection ends, so that nothing else is out on it."""
+        link = execution.link
+        if link is not None and link.execution is execution:
+            link.execution = None
+            if link.connected:
+                link.end()
+
+    def rest(self, link: Link) -> None:
+        if link.server.presence != "on":
+            link.end()
+        else:
+            link.idle_since = self.clock.now()
+            link.server.idle.append(link)
+
+    def forget(self, link: Link) -> None:
+        self.descriptors.give()
+        link.server.links.pop(link, None)
+        if link in link.server.idle:
+            link.server.idle.remove(link)
+
+    async def report(self, execution: Execution, answer: Answer) -> None:
+        execution.answered = True
+        await self.keeper.post(self.keeper.ended, execution, answer)
+
+    def sweep(self) -> None:
+        """Retire what stands idle well before its server closes it: what crosses that may have run."""
+        before = self.clock.now() - self.retire_after
+        for server in self.servers.values():
+            while server.idle and server.idle[0].idle_since < before:
+                server.idle.pop(0).end()
+
+    def _give_way(self) -> None:
+        waiting = [server.idle[0] for server in self.servers.values() if server.idle]
+        if waiting:
+            oldest = min(waiting, key=lambda link: link.idle_since)
+            oldest.server.idle.pop(0)
+            oldest.end()
--- /dev/null
+++ b/merlintally/net/sockets.py
@@ -0,0 +1,157 @@
+"""Sockets that never block: reads into a buffer that is parsed in place, gathered writes, allowances.
+
+The node keeps its own sockets under anyio's readiness calls, since its rules need to know exactly how much
+of a message was written when a connection broke.
+"""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Sequence
+from contextlib import suppress
+
+import anyio
+
+Buffer = bytes | bytearray | memoryview
+GATHERED = 64  # buffers in one write, well below what any system allows
+FIRST_SIZE, MOST_SIZE = 2048, 160 << 10  # of the buffer a connection reads into: two of the largest values
+
+
+class Allowance:
+    """A number of things that may be held at once: descriptors, or bytes."""
+
+    def __init__(self, most: int) -> None:
+        self.most, self.held = most, 0
+        self._freed = anyio.Event()
+
+    @property
+    def full(self) -> bool:
+        return self.held >= self.most
+
+    def take(self, amount: int = 1) -> None:
+        self.held += amount
+
+    def give(self, amount: int = 1) -> None:
+        self.held -= amount
+        freed, self._freed = self._freed, anyio.Event()
+        freed.set()
+
+    async def room(self) -> None:
+        while self.full:
+            await self._freed.wait()
+
+
+def gather(sock: socket.socket, buffers: Sequence[Buffer]) -> list[Buffer]:
+    """Write as much as can be written now, and return what is left. A broken connection raises OSError."""
+    left = list(buffers)
+    while left:
+        try:
+            written = sock.sendmsg(left[:GATHERED])
+        except (BlockingIOError, InterruptedError):
+            return left
+        done = 0
+        while done < len(left) and written >= len(left[done]):
+            written -= len(left[done])
+            done += 1
+        del left[:done]
+        if left and written:
+            left[0] = memoryview(left[0])[written:]
+    return left
+
+
+class Stream:
+    """One connected socket: bytes `start` to `end` of `buffer` are read and not yet used."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.sock, self.closed = sock, False
+        self.buffer, self.start, self.end = bytearray(FIRST_SIZE), 0, 0
+        self.unsent: list[Buffer] = []
+
+    async def receive(self) -> int:
+        """Wait for more bytes; 0 when the other side has ended or the connection is broken."""
+        while not self.closed:
+            await anyio.wait_readable(self.sock)
+            if self.closed:
+                break
+            self._make_room()
+            try:
+                got = self.sock.recv_into(memoryview(self.buffer)[self.end:])
+            except (BlockingIOError, InterruptedError):
+                continue
+            except OSError:
+                return 0
+            self.end += got
+            return got
+        return 0
+
+    def _make_room(self) -> None:
+        if self.start == self.end:
+            self.start = self.end = 0
+            if len(self.buffer) > FIRST_SIZE:
+                self.buffer = bytearray(FIRST_SIZE)
+        elif self.start and self.end == len(self.buffer):
+            kept = self.buffer[self.start:self.end]
+            self.buffer[:len(kept)] = kept
+            self.start, self.end = 0, len(kept)
+        if self.end == len(self.buffer):
+            self.buffer.extend(bytes(min(len(self.buffer) * 3, max(0, MOST_SIZE - len(self.buffer)))))
+
+    @property
+    def overfull(self) -> bool:
+        return self.start == 0 and self.end >= MOST_SIZE
+
+    def write(self, buffers: Sequence[Buffer]) -> bool:
+        """Write at once what can be; whether nothing is left, else `flush` has to follow."""
+        self.unsent = [*self.unsent, *buffers] if self.unsent else gather(self.sock, buffers)
+        return not self.unsent
+
+    async def flush(self) -> None:
+        while self.unsent and not self.closed:
+            await anyio.wait_writable(self.sock)
+            if not self.closed:
+                self.unsent = gather(self.sock, self.unsent)
+
+    def alive(self) -> bool:
+        """Whether an idle connection still stands: the other side has neither ended nor said anything."""
+        try:
+            self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except (BlockingIOError, InterruptedError):
+            return True
+        except OSError:
+            pass
+        return False
+
+    def end_sending(self) -> None:
+        with suppress(OSError):
+            self.sock.shutdown(socket.SHUT_WR)
+
+    def hang_up(self) -> None:
+        """End both directions at once; the task that reads it wakes and closes it."""
+        with suppress(OSError):
+            self.sock.shutdown(socket.SHUT_RDWR)
+
+    def close(self) -> None:
+        if not self.closed:
+            self.closed = True
+            anyio.notify_closing(self.sock)
+            self.sock.close()
+
+
+def tcp_socket() -> socket.socket:
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setblocking(False)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return sock
+
+
+async def connect(sock: socket.socket, where: tuple[str, int]) -> None:
+    """Connect a socket that does not block; raises OSError when it can't be."""
+    try:
+        sock.connect(where)
+        return
+    except (BlockingIOError, InterruptedError):
+        pass
+    await anyio.wait_writable(sock)
+    if code := sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+        raise OSError(code, "connect failed")
+    sock.getpeername()  # raises where it was ended meanwhile
--- /dev/null
+++ b/merlintally/net/timers.py
@@ -0,0 +1,56 @@
+"""The node's clock, and the one place that keeps its timers."""
+
+from __future__ import annotations
+
+import heapq
+import time
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+
+from merlintally.net.log import Log
+
+SLEW = 0.001  # seconds by which the clock may move towards the system's at each look
+
+
+class Clock:
+    """Unix time, as all machines read it, that neither jumps nor runs backwards when it is set anew."""
+
+    def __init__(self) -> None:
+        self.offset = time.time() - time.monotonic()
+
+    def now(self) -> float:
+        return time.monotonic() + self.offset
+
+    def follow(self) -> None:
+        self.offset += max(-SLEW, min(SLEW, time.time() - self.now()))
+
+
+class Timers:
+    """Hands calls to the queue at their times. None is taken back: what is no longer wanted is ignored."""
+
+    def __init__(self, clock: Clock, post: Callable[..., Any], log: Log, late: float) -> None:
+        self.clock, self.post, self.log, self.late = clock, post, log, late
+        self.due: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
+        self.number, self.sleeping = 0, anyio.CancelScope()
+
+    def at(self, when: float, call: Callable[..., None], *args: Any) -> None:
+        self.number += 1
+        heapq.heappush(self.due, (when, self.number, call, args))
+        if self.due[0][1] == self.number:
+            self.sleeping.cancel()
+
+    async def run(self) -> None:
+        while True:
+            with anyio.CancelScope() as self.sleeping:
+                if self.due:
+                    await anyio.sleep(max(0.0, self.due[0][0] - self.clock.now()))
+                else:
+                    await anyio.sleep_forever()
+            now = self.clock.now()
+            if self.due and now - self.due[0][0] > self.late:
+                self.log.say(f"the loop runs {now - self.due[0][0]:.3f} s late")
+            while self.due and self.due[0][0] <= now:
+                _, _, call, args = heapq.heappop(self.due)
+                await self.post(call, *args)
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -1,7 +1,7 @@
 """The adapter: what is malformed is named with its line."""
 
 from merlintally.benchlink.codec import Link
-from merlintally.benchlink.framing import Malformed
+from merlintally.fields import Malformed
 
 
 def answer(*lines: str) -> str:
