Bad input, faults and limits held to one connection each; tests among stand-ins; example

What was checked: each kind of malformed command, answer, total, list and configuration, connections that break, fall silent or are refused, a full queue, the last descriptor, leaving. Lines responsible and mended on the way: a client gone while its answers were passed on changed the deque it went through (clients._gone); a stated wait of weeks kept what belongs to it in the timers (taken.ends now goes no further than the lane's hard limit); a listener at its limit waited for a close though connections fell idle (clients.accept); an early refusal of a command not yet whole was taken for malformed (servers._serve); a fault in one task ended all (node._lasting).

--- a/merlintally/net/clients.py
+++ b/merlintally/net/clients.py
@@ -4,6 +4,7 @@
 
 import errno
 import socket
+import traceback
 from collections import deque
 from typing import TYPE_CHECKING
 
@@ -11,8 +12,7 @@
 from anyio.abc import TaskGroup
 
 from merlintally.fields import Malformed
-from merlintally.interface import Effect
-from merlintally.net.configuration import Bounds, Deployment
+from merlintally.net.configuration import Deployment
 from merlintally.net.log import Log
 from merlintally.net.resp import Span, array_at
 from merlintally.net.sockets import Allowance, Buffer, Stream
@@ -27,6 +27,7 @@
     return str(wrong).encode("ascii", "replace").replace(b"\r", b" ").replace(b"\n", b" ")
 
 
+PAUSE = 0.05  # seconds until it is tried again to accept
 SCARCE = {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM}
 
 
@@ -45,6 +46,7 @@
         return not self.due and not self.stream.unsent and self.stream.start == self.stream.end
 
     async def run(self) -> None:
+        """Guards against a fault in handling one connection: it ends that one, and no other."""
         try:
             while await self.stream.receive():
                 self.moved_at = self.clients.clock.now()
@@ -52,6 +54,8 @@
                 if self.closing:
                     self.stream.start = self.stream.end = 0  # only waits for the other side's end
                 await self.clients.held.room()
+        except Exception:
+            self.clients.log.say(f"a client's connection failed: {traceback.format_exc()}")
         finally:
             await self._gone()
 
@@ -90,7 +94,7 @@
                 self.due.append(Due([b"-ERR %b\r\n" % plain(wrong)]))
             else:
                 self.due.append(taken)
-                clients.held.take(len(raw))
+                clients.held.take(taken.size)
                 await clients.keeper.post(clients.keeper.take, taken)
                 return
         else:
@@ -112,7 +116,7 @@
             due = self.due.popleft()
             ready.extend(due.answer or ())
             if isinstance(due, Taken):
-                self.clients.held.give(len(due.raw))
+                self.clients.held.give(due.size)
         if ready and not self.ended:
             self.moved_at = self.clients.clock.now()
             try:
@@ -151,44 +155,41 @@
         clients = self.clients
         clients.connections.pop(self, None)
         clients.descriptors.give()
-        for due in self.due:
+        owed, self.due = self.due, deque()
+        for due in owed:
             if isinstance(due, Taken):
-                clients.held.give(len(due.raw))
+                clients.held.give(due.size)
                 if due.answer is None:
                     await clients.keeper.post(clients.keeper.left, due)
-        self.due.clear()
 
 
 class Clients:
     """The listener and all connections of clients."""
 
-    def __init__(self, deployment: Deployment, keeper: Keeper, clock: Clock, log: Log, group: TaskGroup,
-                 descriptors: Allowance) -> None:
-        self.bounds: Bounds = deployment.bounds
+    def __init__(self, deployment: Deployment, listener: socket.socket, keeper: Keeper, clock: Clock,
+                 log: Log, group: TaskGroup, descriptors: Allowance) -> None:
+        self.listener, self.bounds = listener, deployment.bounds
         self.keeper, self.clock, self.log, self.group = keeper, clock, log, group
         self.descriptors, self.held = descriptors, Allowance(deployment.bounds.held_bytes)
-        self.lanes: dict[str, Effect] = {lane.name: lane.effect for lane in deployment.facts.lanes}
+        self.lanes = {lane.name: lane for lane in deployment.facts.lanes}
         self.plans = frozenset(plan.name for plan in deployment.facts.plans)
         self.connections: dict[Client, None] = {}
         self.ready = True
-        self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        self.listener.setblocking(False)
-        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.listener.bind(deployment.listen)
-        self.listener.listen(1024)
 
     async def accept(self) -> None:
         """Take connections; at the most that may be, an idle one gives way, else new ones wait outside."""
         while True:
             if self.descriptors.full:
                 self.give_way()
-                await self.descriptors.room()
+                with anyio.move_on_after(PAUSE):  # one may fall idle meanwhile
+                    await self.descriptors.room()
+                continue
             await anyio.wait_readable(self.listener)
             scarce = self.accept_all()
             if scarce:  # guards against a loop that spins on a listener it can't accept from
                 self.log.say(f"no connection can be accepted: {scarce.strerror}")
                 self.give_way()
-                await anyio.sleep(0.05)
+                await anyio.sleep(PAUSE)
 
     def accept_all(self) -> OSError | None:
         while not self.descriptors.full:
--- a/merlintally/net/configuration.py
+++ b/merlintally/net/configuration.py
@@ -29,6 +29,7 @@
     client_stall_s: float = 10.0  # and one on which a command or an answer makes no headway
     pipelined: int = 32  # commands of one connection that are open at once
     held_bytes: int = 32 << 20  # of commands and answers held; beyond it nothing more is read
+    kept_back: int = 32  # descriptors for all that is neither a client nor an app server
     client_share: float = 0.7  # of the descriptors, for clients
     idle_share: float = 0.4  # of the app servers' stated idle time, after which a connection is retired
     counter_silence_s: float = 1.0  # without an answer that is due, after which its connection is given up
@@ -64,7 +65,6 @@
     seed: int
     sockets: int
     known: tuple[Listed, ...]
-    known_index: int | None
     facts: StartFacts
     reported: tuple[str, ...]  # fields of a load report, by their names in the decisions
     streaming: frozenset[str]
@@ -194,7 +194,7 @@
         raise Faulty(f"settings: {wrong}") from None
     check_facts(facts)
     try:
-        index, _, servers = page(given["known"]) if given.get("known") is not None else (None, True, [])
+        servers = page(given["known"])[2] if given.get("known") is not None else []
     except Malformed as wrong:
         raise Faulty(f"known: {wrong}") from None
     seed, peers, limits = value("seed"), given.get("peers", []), given.get("limits", {})
@@ -205,8 +205,9 @@
     if not isinstance(peers, list):
         raise Faulty("peers: is no list")
     sockets = limits.get("sockets", 1024) if isinstance(limits, Mapping) else None
-    if not isinstance(sockets, int) or sockets < 64:
-        raise Faulty(f"limits.sockets: {sockets!r} is no whole number of 64 or more")
+    bounds = bounds_of(given.get("node", {}))
+    if not isinstance(sockets, int) or sockets < 2 * bounds.kept_back:
+        raise Faulty(f"limits.sockets: {sockets!r} is no whole number of {2 * bounds.kept_back} or more")
     if facts.may_count and given.get("counter") is None:
         raise Faulty("counter: is missing, and settings.familyInfo.mayCount says that there is one")
     return Deployment(
@@ -214,10 +215,10 @@
         discovery=address(value("discovery", "LB_DISCOVERY"), "discovery"), counter=optional("counter"),
         peer_listen=optional("peer_listen"), peers_all=optional("peers_all"),
         peers=tuple(address(one, f"peers.{at}") for at, one in enumerate(peers)), seed=seed, sockets=sockets,
-        known=tuple(servers), known_index=index, facts=facts,
+        known=tuple(servers), facts=facts,
         reported=tuple(REPORTED.get(name, name) for name in reported_names(info)), streaming=streaming,
         most_open=most_open, connect_time_out=connect_time_out, idle_close=idle_close,
-        bounds=bounds_of(given.get("node", {})),
+        bounds=bounds,
     )
 
 
--- a/merlintally/net/keeper.py
+++ b/merlintally/net/keeper.py
@@ -42,7 +42,6 @@
         self.soon: deque[tuple[Callable[..., None], tuple[Any, ...]]] = deque()  # the keeper's own calls
         self._send, self._calls = anyio.create_memory_object_stream[
             tuple[Callable[..., None], tuple[Any, ...]]](deployment.bounds.queue)
-        self.emptied = anyio.Event()
 
     async def post(self, call: Callable[..., None], *args: Any) -> None:
         """Put a call in the queue; while it is full the caller waits, and reads no more."""
@@ -60,7 +59,7 @@
                 except anyio.WouldBlock:
                     break
                 self._do(call, args)
-            self.carry_out()
+            self._do(self.carry_out, ())
 
     def _do(self, call: Callable[..., None], args: tuple[Any, ...]) -> None:
         """Guards against one bad event that takes the node, and all it holds, with it."""
@@ -96,8 +95,6 @@
                 break
             while self.soon:
                 self._do(*self.soon.popleft())
-        if not self.taken:
-            self.emptied.set()
 
     # What comes through the queue.
 
@@ -199,3 +196,4 @@
     def _forget(self, taken: Taken) -> None:
         if not taken.out and (taken.gone or taken.answer is not None):
             self.taken.pop(taken.number, None)
+            taken.raw = b""  # the timers may know it for a while yet
--- a/merlintally/net/node.py
+++ b/merlintally/net/node.py
@@ -5,14 +5,18 @@
 import gc
 import os
 import signal
+import socket
 import sys
+import traceback
+from collections.abc import Awaitable, Callable
+from functools import partial
 
 import anyio
 from anyio.abc import TaskStatus
 
 from merlintally.facts import REPORTED
 from merlintally.net.clients import Clients
-from merlintally.net.configuration import Deployment, Faulty, read_deployment
+from merlintally.net.configuration import Address, Deployment, Faulty, read_deployment
 from merlintally.net.counter import Counter
 from merlintally.net.discovery import Discovery
 from merlintally.net.keeper import Keeper
@@ -23,8 +27,6 @@
 from merlintally.net.sockets import Allowance
 from merlintally.net.timers import Clock, Timers
 
-KEPT_BACK = 32  # descriptors for all that is neither a client nor an app server
-
 
 class EdgeNode:
     """An edge node to run or to embed: `await node.serve()` ends some time after `node.leave()`.
@@ -36,44 +38,76 @@
         self.deployment = deployment
         self.log = log or Log(deployment.name, deployment.bounds.log_lines)
         self.phases = Phases()
+        self.listener: socket.socket | None = None
+        self.peer_sock: socket.socket | None = None
+
+    def bind(self) -> None:
+        """Take the addresses to listen at, or raise OSError. `serve` does it where it was not done."""
+        self.listener = socket.create_server(self.deployment.listen, backlog=1024)
+        self.listener.setblocking(False)
+        if self.deployment.peer_listen is not None:
+            self.peer_sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+            self.peer_sock.setblocking(False)
+            self.peer_sock.bind(self.deployment.peer_listen)
+
+    @property
+    def address(self) -> Address:
+        assert self.listener is not None, "not bound"
+        found: Address = self.listener.getsockname()
+        return found
 
     def leave(self) -> None:
         """Stop: take what still comes for a while, answer all that was taken, then end."""
         self.phases.enter(Phase.LEAVING)
 
     async def serve(self, *, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED) -> None:
+        if self.listener is None:
+            self.bind()
+        assert self.listener is not None
         told, bounds = self.deployment, self.deployment.bounds
         clock = Clock()
         keeper = Keeper(told, clock, self.log)
         timers = keeper.timers = Timers(clock, keeper.post, self.log, bounds.late_s)
-        most_clients = int((told.sockets - KEPT_BACK) * bounds.client_share)
+        discovery = Discovery(told.discovery, bounds, keeper, self.log)
+        most_clients = int((told.sockets - bounds.kept_back) * bounds.client_share)
+        most_links = told.sockets - bounds.kept_back - most_clients
         async with anyio.create_task_group() as group:
-            fleet = keeper.fleet = Fleet(told, keeper, clock, self.log, group,
-                                         Allowance(told.sockets - KEPT_BACK - most_clients), REPORTED)
+            fleet = Fleet(told, keeper, clock, self.log, group, Allowance(most_links), REPORTED)
+            clients = Clients(told, self.listener, keeper, clock, self.log, group, Allowance(most_clients))
+            keeper.fleet = fleet
+            tasks: list[Callable[[], Awaitable[None]]] = [
+                keeper.run, timers.run, discovery.run, partial(self._sweep, clock, clients, fleet)]
             if told.counter is not None:
                 keeper.counter = Counter(told.counter, told.facts.count_time_out, bounds, keeper, clock,
                                          timers, self.log)
-                group.start_soon(keeper.counter.run)
-            if told.peer_listen is not None:
-                keeper.peers = Peers(told.peer_listen, told.peers, told.peers_all, keeper, self.log)
-                group.start_soon(keeper.peers.run)
+                tasks.append(keeper.counter.run)
+            if self.peer_sock is not None:
+                keeper.peers = Peers(self.peer_sock, told.peers, told.peers_all, keeper, self.log)
+                tasks.append(keeper.peers.run)
             keeper.listed(list(told.known), True)
             keeper.carry_out()
-            clients = Clients(told, keeper, clock, self.log, group, Allowance(most_clients))
-            for task in (keeper.run, timers.run, Discovery(told.discovery, bounds, keeper, self.log).run):
-                group.start_soon(task)
-            group.start_soon(self._sweep, clock, clients, fleet)
+            for task in tasks:
+                group.start_soon(self._lasting, task)
             self.phases.enter(Phase.SERVING)
             task_status.started()
             async with anyio.create_task_group() as accepting:
-                accepting.start_soon(clients.accept)
+                accepting.start_soon(self._lasting, clients.accept)
                 await self.phases.reached(Phase.LEAVING)
                 await anyio.sleep(bounds.leave_s)
                 accepting.cancel_scope.cancel()
             await self._finish(keeper, clients)
             group.cancel_scope.cancel()
-        if keeper.peers is not None:
-            keeper.peers.close()
+        if self.peer_sock is not None:
+            self.peer_sock.close()
+
+    async def _lasting(self, task: Callable[[], Awaitable[None]]) -> None:
+        """Guards against a fault in one task that would take the node with it: the task begins again."""
+        while True:
+            try:
+                await task()
+            except Exception:
+                self.log.say(f"a task begins again: {traceback.format_exc()}")
+            await anyio.sleep(self.deployment.bounds.again_s)
 
     async def _finish(self, keeper: Keeper, clients: Clients) -> None:
         """Take nothing new, and answer all that was taken."""
@@ -104,6 +138,7 @@
 async def run_program(deployment: Deployment) -> None:
     """Serve until told to stop by a signal."""
     node = EdgeNode(deployment)
+    node.bind()
     async with anyio.create_task_group() as group:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             async def listen() -> None:
--- a/merlintally/net/peers.py
+++ b/merlintally/net/peers.py
@@ -18,13 +18,11 @@
 
 
 class Peers:
-    def __init__(self, listen: Address, peers: tuple[Address, ...], everyone: Address | None,
+    def __init__(self, sock: socket.socket, peers: tuple[Address, ...], everyone: Address | None,
                  keeper: Keeper, log: Log) -> None:
         self.numbers = {peer: number for number, peer in enumerate(peers)}
         self.everyone, self.keeper, self.log = everyone, keeper, log
-        self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self.sock.setblocking(False)
-        self.sock.bind(listen)
+        self.sock = sock
 
     def tell(self, payload: bytes) -> None:
         """To all others; what can't be sent now is lost, as it may be on its way."""
@@ -44,7 +42,3 @@
             number = self.numbers.get(sender)
             if number is not None and len(payload) <= MOST:  # anything else is dropped
                 await self.keeper.post(self.keeper.noted, number, payload)
-
-    def close(self) -> None:
-        anyio.notify_closing(self.sock)
-        self.sock.close()
--- a/merlintally/net/servers.py
+++ b/merlintally/net/servers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+import traceback
 from collections.abc import Iterable
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -108,6 +109,8 @@
             self.fleet.log.say(f"app server {self.server.name}: {wrong}; the connection is closed")
         except OSError:
             pass
+        except Exception:  # guards against a fault in handling one connection: it ends that one, and no other
+            self.fleet.log.say(f"app server {self.server.name}: {traceback.format_exc()}")
         finally:
             self.dead = True
             self.stream.close()
@@ -134,12 +137,11 @@
                     raise Malformed("an answer is beyond what is allowed")
                 continue
             answer, stream.start = found
-            execution, self.execution = self.execution, None
-            if execution is None or not execution.written:
-                self.execution = execution
+            execution = self.execution
+            if execution is None or (answer.outcome == "ok" and not execution.written):
                 raise Malformed("an answer came to no question")
-            if stream.start < stream.end:
-                self.dead = True
+            self.execution = None
+            self.dead = self.dead or stream.start < stream.end or not execution.written
             execution.answered = True
             if not self.dead:
                 self.fleet.rest(self)
--- a/merlintally/net/taken.py
+++ b/merlintally/net/taken.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from merlintally.fields import Fields, Malformed, number, text, whole
-from merlintally.interface import Effect
+from merlintally.interface import LaneFacts
 from merlintally.net.resp import Span
 from merlintally.net.sockets import Buffer
 
@@ -33,9 +33,9 @@
     """One submission, from its last byte on."""
 
     __slots__ = ("client", "raw", "terms_at", "limit_at", "lane", "customer", "plan", "units", "spread",
-                 "ends", "number", "handle", "out", "sent", "gone")
+                 "ends", "size", "number", "handle", "out", "sent", "gone")
 
-    def __init__(self, client: Client, raw: bytes, words: list[Span], lanes: dict[str, Effect],
+    def __init__(self, client: Client, raw: bytes, words: list[Span], lanes: dict[str, LaneFacts],
                  plans: frozenset[str], arrived: float) -> None:
         """Check a command of which `words` are the spans in `raw`; Malformed says what is wrong."""
         super().__init__()
@@ -49,20 +49,21 @@
             raise Malformed("the id has not 1 to 64 bytes")
         terms, self.limit_at = terms_of(raw, self.terms_at)
         self.lane, self.plan, self.customer = text(terms, "c"), text(terms, "t"), customer.decode()
-        effect = lanes.get(self.lane)
-        if effect is None:
+        lane = lanes.get(self.lane)
+        if lane is None:
             raise Malformed("field 'c' names no lane")
         if self.plan not in plans:
             raise Malformed("field 't' names no plan")
-        if COMMANDS[name.upper()] != (effect == "harmless"):
+        if COMMANDS[name.upper()] != (lane.effect == "harmless"):
             raise Malformed("the lane does not go with the command")
-        if effect == "stamped" and not terms.get("k"):
+        if lane.effect == "stamped" and not terms.get("k"):
             raise Malformed("field 'k' is missing")
         limit, self.units = whole(terms, "d"), number(terms, "units")
         self.spread, first = whole(terms, "spread"), whole(terms, "first")
         if limit < 0 or limit > 10**9 or not 0 < self.units <= 10**9 or self.spread < 1 or first < 0:
             raise Malformed("a number is out of its range")
-        self.ends = arrived + limit / 1000
+        # Guards against a stated wait of weeks, for as long as which all that belongs to it would be kept.
+        self.ends, self.size = arrived + min(limit / 1000, lane.hard_limit), len(raw)
         self.number, self.sent, self.gone = 0, 0, False
         self.handle: Submission | None = None
         self.out: dict[int, Execution] = {}
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,12 +1,23 @@
-"""Small states for the tests."""
+"""Small states for the tests, and stand-ins for what a node talks to."""
 
 from __future__ import annotations
 
+import io
+import json
+import socket
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from dataclasses import replace
 from typing import Any
 
+import anyio
+
 from merlintally.choice import Customer, Gateway, Submission
 from merlintally.interface import LaneFacts, PlanFacts, ServerFacts, StartFacts
+from merlintally.net import Deployment, EdgeNode
+from merlintally.net.configuration import Listed, deployment_of, page
+from merlintally.net.log import Log
+from merlintally.net.resp import array
 
 PLAN = PlanFacts("plan", 4.0, 8.0, 0, 8.0, 16.0, 1.0, 1.0, 0.0, 1.0)
 SERVER = ServerFacts("s1", "on", "z", 0, 0.0, 1.0, "m")
@@ -41,3 +52,138 @@
     made = Customer("c", plan, gateways, 100.0, uptime)
     made.heard = 100.0
     return made
+
+
+def told(**changes: Any) -> Deployment:
+    """What a node is told: one lane of each effect, ports of the system's choosing, nothing known."""
+    given: dict[str, Any] = {
+        "name": "n0", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:1", "seed": "0f",
+        "settings": {
+            "classes": [{"name": name, "aimS": 1.0, "deadlineS": 2.0, "repeat": repeat, "keyScope": "all",
+                         "windowS": 5.0} for name, repeat in
+                        (("look", "repeatable"), ("order", "by_key"), ("pay", "once"))],
+            "tariffs": [{"name": "plan", "unitsPerS": 100.0, "mostAtOnce": 100.0}],
+            "limits": {"maxAttempts": 3, "mayCancel": True, "maxRetryAfterS": 2.0, "retryAfter": True},
+        },
+    }
+    found = deployment_of(given, {})
+    return replace(found, listen=("127.0.0.1", 0), **changes)
+
+
+def said(name: bytes = b"Q.ASK", terms: bytes = b"c=look,t=plan,d=1500,units=1,spread=1,first=0",
+         body: bytes = b"BODY", customer: bytes = b"00000000b4d65521") -> bytes:
+    """A submission as a client writes it."""
+    return array(name, customer, b"9b1f03aa5c7e2d41", terms, body)
+
+
+class Standin:
+    """Stands in for an outside system on loopback: `say` gets what came on a connection since it last spoke,
+    and gives what to write; None ends the connection, and empty bytes wait for more."""
+
+    def __init__(self, say: Callable[[bytes], bytes | None]) -> None:
+        self.say, self.heard, self.ends = say, list[bytes](), 0
+        self.sock = socket.create_server(("127.0.0.1", 0))
+        self.sock.setblocking(False)
+        self.address: tuple[str, int] = self.sock.getsockname()
+
+    async def run(self) -> None:
+        async with anyio.create_task_group() as group:
+            while True:
+                await anyio.wait_readable(self.sock)
+                sock, _ = self.sock.accept()
+                group.start_soon(self._speak, sock)
+
+    async def _speak(self, sock: socket.socket) -> None:
+        sock.setblocking(False)
+        with sock, suppress(OSError):
+            waiting = b""
+            while True:
+                await anyio.wait_readable(sock)
+                got = sock.recv(1 << 16)
+                if not got:
+                    break
+                self.heard.append(got)
+                waiting += got
+                words = self.say(waiting)
+                if words is None:
+                    break
+                if words:
+                    sock.sendall(words)
+                    waiting = b""
+        self.ends += 1
+
+
+def listing(*servers: Standin, status: str = "SERVING", index: int = 1) -> bytes:
+    """Discovery's whole list, of app servers s0, s1 and so on."""
+    rows = [{"name": f"s{at}", "address": "{}:{}".format(*one.address), "status": status}
+            for at, one in enumerate(servers)]
+    body = json.dumps({"index": index, "snapshot": True, "endpoints": rows}).encode()
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+
+
+def known(*servers: Standin) -> tuple[Listed, ...]:
+    return tuple(page(json.loads(listing(*servers).split(b"\r\n\r\n")[1]))[2])
+
+
+def answers_in(heard: bytes) -> int:
+    """How many whole answers, lines or bulk strings, were heard."""
+    count = at = 0
+    while (stop := heard.find(b"\r\n", at)) >= 0:
+        at = stop + 2 + (int(heard[at + 1:stop]) + 2 if heard[at:at + 1] == b"$" else 0)
+        count += at <= len(heard)
+    return count
+
+
+class Scene:
+    """A node in service among stand-ins, and clients that talk to it."""
+
+    def __init__(self, node: EdgeNode) -> None:
+        self.node = node
+
+    async def connect(self) -> socket.socket:
+        sock = socket.create_connection(self.node.address)
+        sock.setblocking(False)
+        return sock
+
+    async def hear(self, sock: socket.socket, until: int = 0) -> bytes:
+        """What the node writes: `until` answers, or all to its end."""
+        heard = b""
+        with anyio.move_on_after(3.0):
+            while not until or answers_in(heard) < until:
+                await anyio.wait_readable(sock)
+                try:
+                    got = sock.recv(1 << 16)
+                except ConnectionError:
+                    return heard
+                if not got:
+                    return heard
+                heard += got
+        return heard
+
+    async def ask(self, *chunks: bytes, until: int = 1) -> bytes:
+        sock = await self.connect()
+        with sock:
+            for chunk in chunks:
+                sock.sendall(chunk)
+                await anyio.sleep(0.002)
+            return await self.hear(sock, until=until)
+
+
+def play(deployment: Deployment, act: Callable[[Scene], Awaitable[None]], *standins: Standin) -> str:
+    """Let a node serve among stand-ins while `act` goes on; gives its log."""
+    log = io.StringIO()
+
+    async def scene() -> None:
+        node = EdgeNode(deployment, Log("n", 1000.0, log))
+        async with anyio.create_task_group() as group:
+            for standin in standins:
+                group.start_soon(standin.run)
+            await group.start(node.serve)
+            with anyio.fail_after(15):
+                await act(Scene(node))
+            group.cancel_scope.cancel()
+
+    anyio.run(scene)
+    for standin in standins:
+        standin.sock.close()
+    return log.getvalue()
--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,273 @@
+"""A node among stand-ins: what becomes of submissions, connections, and the node itself."""
+
+from dataclasses import replace
+
+import anyio
+from helpers import Scene, Standin, known, listing, play, said, told
+
+from merlintally.net.configuration import Bounds
+from merlintally.net.phases import Phase
+from merlintally.net.resp import array, bulk
+
+OK = b"*3\r\n$2\r\nhi\r\n$-1\r\n$-1\r\n"
+
+
+def server(answer: bytes | None = OK) -> Standin:
+    """An app server that gives one answer to all; None: it breaks the connection instead."""
+    return Standin(lambda heard: answer if heard.endswith(b"BODY\r\n") else b"")
+
+
+def heard_of(answer: bytes | None, *asked: bytes) -> bytes:
+    """What a client hears when its app server says `answer`."""
+    at, heard = server(answer), list[bytes]()
+
+    async def act(scene: Scene) -> None:
+        heard.append(await scene.ask(*(asked or (said(),))))
+
+    play(told(known=known(at)), act, at)
+    return heard[0]
+
+
+def test_delivered_is_the_value_and_nothing_else() -> None:
+    assert heard_of(OK) == b"$2\r\nhi\r\n"
+
+
+def test_in_pieces_and_byte_by_byte() -> None:
+    raw = said()
+    assert heard_of(OK, raw[:7], raw[7:60], raw[60:]) == b"$2\r\nhi\r\n"
+    assert heard_of(OK, *(raw[at:at + 1] for at in range(len(raw)))) == b"$2\r\nhi\r\n"
+
+
+def test_a_value_of_64_kib_goes_through() -> None:
+    value = bulk(b"v" * 65536)
+    assert heard_of(b"*1\r\n" + value) == value
+
+
+def test_what_may_have_run_is_no_bounce_unless_harmless() -> None:
+    """Guards against a bounce, which promises that trying again is harmless, for what may have run."""
+    paid = said(b"Q.DO", b"c=pay,t=plan,d=1500,units=1,spread=1,first=0")
+    assert heard_of(None, paid).startswith(b"-ERR")
+    assert heard_of(b"-ERR failed\r\n", paid).startswith(b"-ERR")
+    assert heard_of(b"+nonsense\r\n", paid).startswith(b"-ERR")
+    assert heard_of(b"-BUSY\r\n", paid).startswith(b"-BUSY")
+
+
+def test_commands_behind_one_another_are_answered_in_order() -> None:
+    """Guards against answers that overtake: the first is slow, and things beside submissions come at once."""
+    at, heard = server(), list[bytes]()
+
+    async def act(scene: Scene) -> None:
+        heard.append(await scene.ask(
+            said() + array(b"PING") + said() + array(b"nap") + said(terms=b"c=nap"), until=5))
+
+    play(told(known=known(at)), act, at)
+    lines = heard[0].split(b"\r\n")
+    assert [line[:4] for line in lines] == [b"$2", b"hi", b"+PON", b"$2", b"hi", b"-ERR", b"-ERR", b""]
+
+
+def test_lost_framing_is_answered_after_what_came_before_and_closed() -> None:
+    assert heard_of(OK, said() + b"rubbish\r\n" + said()).startswith(b"$2\r\nhi\r\n")
+    at, heard = server(), list[bytes]()
+
+    async def act(scene: Scene) -> None:
+        heard.append(await scene.ask(said() + b"rubbish\r\n" + said(), until=0))
+        heard.append(await scene.ask(b"*5\r\n$5\r\nQ.ASK\r\n$70000\r\n", until=0))
+        heard.append(await scene.ask(array(b"PING")))
+
+    log = play(told(known=known(at)), act, at)
+    assert heard[0].startswith(b"$2\r\nhi\r\n-ERR Protocol error") and heard[0].count(b"\r\n") == 3
+    assert heard[1].startswith(b"-ERR Protocol") and heard[2] == b"+PONG\r\n" and "closed" in log
+    assert b"".join(at.heard).count(b"BODY") == 1
+
+
+def test_a_client_that_goes_away_calls_its_execution_off() -> None:
+    at = Standin(lambda heard: b"")
+
+    async def act(scene: Scene) -> None:
+        sock = await scene.connect()
+        sock.sendall(said())
+        await anyio.sleep(0.1)
+        before = at.ends
+        sock.close()
+        await anyio.sleep(0.1)
+        assert (len(at.heard), before, at.ends) == (1, 0, 1)
+
+    play(told(known=known(at)), act, at)
+
+
+def test_silence_is_given_up_at_the_hard_limit_and_the_connection_closed() -> None:
+    at, heard = Standin(lambda heard: b""), list[bytes]()
+
+    async def act(scene: Scene) -> None:
+        began = anyio.current_time()
+        heard.append(await scene.ask(said(b"Q.DO", b"c=pay,t=plan,d=300,units=1,spread=1,first=0")))
+        assert 0.2 < anyio.current_time() - began < 0.36
+        await anyio.sleep(0.05)
+        assert at.ends == 1
+
+    play(told(known=known(at)), act, at)
+    assert heard[0].startswith(b"-ERR")
+
+
+def test_connections_are_used_again_and_retired_before_the_server_would() -> None:
+    """Guards against a late write on a connection that its server closes: it would count as may have run."""
+    at = server()
+
+    async def act(scene: Scene) -> None:
+        for _ in range(5):
+            assert await scene.ask(said()) == b"$2\r\nhi\r\n"
+        before = at.ends
+        await anyio.sleep(2.3)
+        assert (before, at.ends, len(at.heard)) == (0, 1, 5)
+
+    play(told(known=known(at), idle_close=2.0), act, at)
+
+
+def test_a_connection_closed_by_its_server_is_seen_and_nothing_is_written_to_it() -> None:
+    answers = iter([OK, None, OK])
+    at = Standin(lambda heard: next(answers) if heard.endswith(b"BODY\r\n") else b"")
+
+    async def act(scene: Scene) -> None:
+        assert await scene.ask(said()) == b"$2\r\nhi\r\n"
+        assert await scene.ask(said()) == b"$2\r\nhi\r\n"  # harmless: broken once, and sent again
+
+    play(told(known=known(at)), act, at)
+    assert len(at.heard) == 3
+
+
+def test_no_server_at_the_address_is_surely_not_run() -> None:
+    gone = server()
+    gone.sock.close()
+    heard = list[bytes]()
+
+    async def act(scene: Scene) -> None:
+        heard.append(await scene.ask(said(b"Q.DO", b"c=pay,t=plan,d=400,units=1,spread=1,first=0")))
+
+    play(told(known=known(gone)), act)
+    assert heard[0].startswith(b"-BUSY")
+
+
+def test_discovery_is_followed_and_a_draining_server_gets_nothing_new() -> None:
+    """First the whole list, then a watch; a malformed answer has the whole list asked for anew."""
+    old, new = server(), server()
+    lists = iter([b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", listing(new)])
+    asked = list[bytes]()
+
+    def say(heard: bytes) -> bytes:
+        if not heard.endswith(b"\r\n\r\n"):
+            return b""
+        asked.append(heard.split(b" ")[1])
+        return next(lists, b"")
+
+    discovery = Standin(say)
+
+    async def act(scene: Scene) -> None:
+        await anyio.sleep(0.4)
+        assert await scene.ask(said()) == b"$2\r\nhi\r\n"
+
+    log = play(told(known=known(old, old), discovery=discovery.address), act, discovery, new)
+    assert asked[:2] == [b"/v1/servers"] * 2 and asked[2].startswith(b"/v1/servers?since=1&timeout_ms=")
+    assert not old.heard and len(new.heard) == 1 and "discovery" in log
+
+
+def test_discovery_gone_silent_is_asked_again_from_the_version_held() -> None:
+    at, asked = server(), list[bytes]()
+
+    def say(heard: bytes) -> bytes:
+        asked.append(heard.split(b" ")[1])
+        return listing(at, index=7) if len(asked) == 1 else b""
+
+    discovery = Standin(say)
+    bounds = Bounds(watch_s=0.1, answer_s=0.1)
+
+    async def act(scene: Scene) -> None:
+        await anyio.sleep(0.6)
+        assert await scene.ask(said()) == b"$2\r\nhi\r\n"
+
+    play(told(discovery=discovery.address, bounds=bounds), act, discovery, at)
+    assert len(asked) >= 3 and set(asked[1:]) == {b"/v1/servers?since=7&timeout_ms=100"}
+
+
+def counting(say: object, *asked: bytes) -> list[bytes]:
+    """What clients hear, one after another, with a counter that speaks so and two gateways."""
+    at, counter = server(), Standin(say)  # type: ignore[arg-type]
+    deployment = told(known=known(at), counter=counter.address)
+    facts = replace(deployment.facts, may_count=True, gateways=2, count_time_out=0.08)
+    heard = list[bytes]()
+
+    async def act(scene: Scene) -> None:
+        for one in asked:
+            heard.append(await scene.ask(one))
+
+    play(replace(deployment, facts=facts), act, at, counter)
+    assert counter.heard and counter.heard[0].startswith(b"tally ")
+    return heard
+
+
+ASKED = said(terms=b"c=look,t=plan,d=1500,units=2,spread=2,first=0")
+
+
+def test_the_counter_decides_and_its_silence_is_bounded() -> None:
+    """Full, broken, silent or malformed, a submission is decided all the same; a total told is believed."""
+    def total(of: bytes) -> bytes:
+        return b"ok %b\r\n" % of
+
+    assert counting(lambda heard: total(b"2"), ASKED) == [b"$2\r\nhi\r\n"]
+    assert counting(lambda heard: total(b"9000"), ASKED)[0].startswith(b"-BUSY")
+    for say in (b"busy\r\n", b"error\r\n", b"", b"what\r\n", None):
+        assert counting(lambda heard, say=say: say, ASKED) == [b"$2\r\nhi\r\n"]
+
+
+def test_idle_connections_give_way_when_descriptors_run_out() -> None:
+    """Guards against a node that stops, or spins, with its last descriptor."""
+    at = server()
+
+    async def act(scene: Scene) -> None:
+        idle = [await scene.connect() for _ in range(60)]
+        assert await scene.ask(said()) == b"$2\r\nhi\r\n"
+        for sock in idle:
+            sock.close()
+
+    play(told(known=known(at), sockets=64), act, at)
+
+
+def test_a_full_queue_holds_back_and_loses_nothing() -> None:
+    at, heard = server(), list[bytes]()
+
+    async def act(scene: Scene) -> None:
+        heard.append(await scene.ask(said() * 60, until=60))
+
+    play(told(known=known(at), bounds=Bounds(queue=1, pipelined=3, held_bytes=200)), act, at)
+    assert heard[0] == b"$2\r\nhi\r\n" * 60
+
+
+def test_more_than_may_be_open_are_bounced() -> None:
+    at, heard = Standin(lambda heard: b""), list[bytes]()
+
+    async def act(scene: Scene) -> None:
+        first = await scene.connect()
+        first.sendall(said())
+        await anyio.sleep(0.05)
+        heard.append(await scene.ask(said()))
+
+    play(told(known=known(at), most_open=1), act, at)
+    assert heard[0] == b"-BUSY\r\n"
+
+
+def test_told_to_stop_it_takes_for_a_while_answers_all_and_ends() -> None:
+    at, heard = Standin(lambda heard: b""), list[bytes]()
+    bounds = Bounds(leave_s=0.3, finish_s=0.6)
+
+    async def act(scene: Scene) -> None:
+        idle, early = await scene.connect(), await scene.connect()
+        scene.node.leave()
+        early.sendall(said(b"Q.DO", b"c=pay,t=plan,d=1500,units=1,spread=1,first=0"))
+        await anyio.sleep(0.1)
+        late = await scene.connect()
+        late.sendall(said())
+        assert await scene.hear(idle) == b""
+        heard.extend([await scene.hear(early), await scene.hear(late)])
+        await scene.node.phases.reached(Phase.ENDED)
+
+    play(told(known=known(at), bounds=bounds), act, at)
+    assert len(at.heard) == 2 and heard[0].startswith(b"-ERR") and heard[1].startswith(b"-BUSY")
--- /dev/null
+++ b/tests/test_sockets.py
@@ -0,0 +1,217 @@
+"""Forms on the wire, and what goes with sockets, without a node."""
+
+import io
+import json
+import os
+import socket
+import time
+
+import pytest
+from helpers import said, told
+
+from merlintally.fields import Malformed
+from merlintally.net.configuration import Faulty, bounds_of, deployment_of, page, read_deployment
+from merlintally.net.counter import outcome_of
+from merlintally.net.log import Log
+from merlintally.net.phases import Phase, Phases
+from merlintally.net.resp import array_at
+from merlintally.net.servers import answer_at
+from merlintally.net.sockets import Buffer, Stream, gather
+from merlintally.net.taken import Taken
+from merlintally.net.timers import Clock
+
+
+def taken(raw: bytes) -> Taken:
+    found = array_at(bytearray(raw), 0, len(raw))
+    assert found is not None
+    lanes = {lane.name: lane for lane in told().facts.lanes}
+    words = [span for span in found[0] if span is not None]
+    return Taken(None, raw, words, lanes, frozenset({"plan"}), 100.0)  # type: ignore[arg-type]
+
+
+def wrong_with(raw: bytes) -> str:
+    try:
+        taken(raw)
+    except Malformed as wrong:
+        return str(wrong)
+    return ""
+
+
+def test_a_command_is_whole_only_at_its_last_byte() -> None:
+    raw = said()
+    assert all(array_at(bytearray(raw), 0, stop) is None for stop in range(len(raw)))
+    found = array_at(bytearray(b"xx" + raw + b"*1"), 2, len(raw) + 4)
+    assert found is not None and found[1] == len(raw) + 2
+
+
+@pytest.mark.parametrize("raw", [
+    b"PING\r\n", b"*x\r\n", b"*-2\r\n", b"*1\r\n+a\r\n", b"*1\r\n$2\r\nabc\r\n", b"*1\r\n$65537\r\n",
+    b"*65\r\n", b"*9999999999\r\n", b"*" + b"1" * 600, b"*1\r\n$\r\n"])
+def test_lost_framing_is_told_from_what_has_not_come(raw: bytes) -> None:
+    with pytest.raises(Malformed):
+        array_at(bytearray(raw), 0, len(raw))
+
+
+def test_a_submission_goes_on_unchanged_but_for_the_time_waited() -> None:
+    terms = b"t=plan,c=order,d=1500,k=5c0f,x=d=1500,units=2,spread=3,first=1"
+    message = b"".join(taken(said(b"Q.DO", terms, b"d=1500")).message(0.0724))
+    assert message == said(b"Q.DO", terms.replace(b"r,d=1500", b"r,d=72"), b"d=1500")
+
+
+def test_a_client_waits_no_longer_than_its_lane_allows() -> None:
+    assert taken(said(terms=b"c=look,t=plan,d=900000000,units=1,spread=1,first=0")).ends == 102.0
+    assert taken(said(terms=b"c=look,t=plan,d=500,units=1,spread=1,first=0")).ends == 100.5
+
+
+@pytest.mark.parametrize(("wrong", "raw"), [
+    ("'c' names no lane", said(terms=b"c=nap,t=plan,d=9,units=1,spread=1,first=0")),
+    ("'c' is missing", said(terms=b"t=plan,d=9,units=1,spread=1,first=0")),
+    ("'t' names no plan", said(terms=b"c=look,t=none,d=9,units=1,spread=1,first=0")),
+    ("'d' is missing", said(terms=b"c=look,t=plan,units=1,spread=1,first=0")),
+    ("'d' is not a whole", said(terms=b"c=look,t=plan,d=9.5,units=1,spread=1,first=0")),
+    ("range", said(terms=b"c=look,t=plan,d=-9,units=1,spread=1,first=0")),
+    ("finite", said(terms=b"c=look,t=plan,d=9,units=nan,spread=1,first=0")),
+    ("range", said(terms=b"c=look,t=plan,d=9,units=0,spread=1,first=0")),
+    ("range", said(terms=b"c=look,t=plan,d=9,units=1,spread=0,first=0")),
+    ("'first' is missing", said(terms=b"c=look,t=plan,d=9,units=1,spread=1")),
+    ("name=value", said(terms=b"c=look,t=plan,d=9,,units=1,spread=1,first=0")),
+    ("name=value", said(terms=b"c=look,c=order,t=plan,d=9,units=1,spread=1,first=0")),
+    ("ASCII", said(terms=b"c=look\xff,t=plan,d=9,units=1,spread=1,first=0")),
+    ("'k' is missing", said(b"Q.DO", b"c=order,t=plan,d=9,units=1,spread=1,first=0")),
+    ("go with the command", said(b"Q.DO")),
+    ("go with the command", said(b"Q.ASK", b"c=pay,t=plan,d=9,units=1,spread=1,first=0")),
+    ("16 hex", said(customer=b"00000000b4d6552x")),
+])
+def test_a_bad_submission_is_refused_by_name(wrong: str, raw: bytes) -> None:
+    assert wrong in wrong_with(raw)
+
+
+@pytest.mark.parametrize(("raw", "outcome", "value", "actual"), [
+    (b"*3\r\n$2\r\nhi\r\n$14\r\nused=37,cost=4\r\n$-1\r\n", "ok", b"$2\r\nhi\r\n", 4),
+    (b"*1\r\n$0\r\n\r\n", "ok", b"$0\r\n\r\n", 0),
+    (b"*3\r\n$2\r\nhi\r\n$-1\r\n$23\r\ninflight=7,queue=2,x=.6\r\n", "ok", b"$2\r\nhi\r\n", 0),
+    (b"-ERR failed used=3\r\n", "error", b"", 0), (b"-BUSY\r\n", "full", b"", 0),
+    (b"-SYNTAX\r\n", "error", b"", 0),
+])
+def test_answers_of_app_servers(raw: bytes, outcome: str, value: bytes, actual: float) -> None:
+    found = answer_at(bytearray(raw), 0, len(raw), frozenset({"held"}), {"inflight": "held"})
+    assert found is not None and found[1] == len(raw)
+    assert (found[0].outcome, found[0].value, found[0].actual) == (outcome, value, actual)
+    assert found[0].report == ({"held": 7.0} if b"inflight" in raw else None)
+    assert all(answer_at(bytearray(raw), 0, stop, frozenset(), {}) is None for stop in range(len(raw)))
+
+
+@pytest.mark.parametrize("raw", [b"*1\r\n$-1\r\n", b"*0\r\n", b"+OK\r\n",
+                                 b"*2\r\n$1\r\na\r\n$10\r\ncost=1.2.3\r\n"])
+def test_malformed_answers_of_app_servers(raw: bytes) -> None:
+    with pytest.raises(Malformed):
+        answer_at(bytearray(raw), 0, len(raw), frozenset(), {})
+
+
+@pytest.mark.parametrize("answer", ["ok", "ok many", "ok nan", "ok inf", "fine 3", ""])
+def test_malformed_answers_of_the_counter(answer: str) -> None:
+    with pytest.raises(Malformed):
+        outcome_of(answer)
+
+
+def test_a_write_cut_short_leaves_the_rest() -> None:
+    ours, theirs = socket.socketpair()
+    with ours, theirs:
+        ours.setblocking(False)
+        sent: list[Buffer] = [os.urandom(700), bytearray(os.urandom(1 << 20)), b"", os.urandom(9)]
+        left, heard = gather(ours, sent), b""
+        assert 0 < sum(map(len, left)) < 1 << 20
+        while left:
+            heard += theirs.recv(1 << 20)
+            left = gather(ours, left)
+        ours.close()
+        while got := theirs.recv(1 << 20):
+            heard += got
+        assert heard == b"".join(sent)
+
+
+def test_an_idle_connection_that_the_other_side_ended_is_not_used() -> None:
+    ours, theirs = socket.socketpair()
+    with ours:
+        ours.setblocking(False)
+        stream = Stream(ours)
+        assert stream.alive()
+        theirs.close()
+        assert not stream.alive()
+
+
+def test_the_clock_follows_slowly_when_it_is_set_anew() -> None:
+    clock = Clock()
+    clock.offset += 3600.0
+    before = clock.now()
+    clock.follow()
+    assert abs(clock.now() - before) < 0.5 and clock.now() > time.time() + 3000
+
+
+def test_phases_only_go_forward() -> None:
+    phases = Phases()
+    phases.enter(Phase.FINISHING)
+    phases.enter(Phase.SERVING)
+    assert phases.current is Phase.FINISHING
+
+
+def test_the_log_is_limited_and_counts_what_it_left_out() -> None:
+    stream = io.StringIO()
+    log = Log("n0", 2.0, stream)
+    for number in range(50):
+        log.say(f"line {number}\nmore")
+    log.room = 1.0
+    log.say("last")
+    lines = stream.getvalue().splitlines()
+    assert lines[0] == "n0: line 0 more" and len(lines) < 6 and "lines left out" in lines[-1]
+
+
+def settings(**changes: object) -> dict[str, object]:
+    return {"classes": [{"name": "look", "deadlineS": 2}], "tariffs": [{"name": "plan"}], **changes}
+
+
+@pytest.mark.parametrize(("key", "changes"), [
+    ("listen: 'here'", {"listen": "here"}), ("listen: 'h:70000'", {"listen": "h:70000"}),
+    ("discovery: is missing", {"discovery": None}), ("seed: 'x'", {"seed": "x"}),
+    ("peers.1: 7", {"peers": ["a:1", 7]}), ("peers: is no list", {"peers": "a:1"}),
+    ("limits.sockets: 'many'", {"limits": {"sockets": "many"}}),
+    ("known: no list", {"known": {"index": 1}}),
+    ("known: app server s: address: 'no'", {"known": {"index": 1, "endpoints": [
+        {"name": "s", "status": "SERVING", "address": "no"}]}}),
+    ("known: field 'status'", {"known": {"index": 1, "endpoints": [{"name": "s", "status": "UP"}]}}),
+    ("settings: is no object", {"settings": 3}), ("settings.classes: is missing", {"settings": {}}),
+    ("classes.0.deadlineS", {"settings": settings(classes=[{"name": "look", "deadlineS": "long"}])}),
+    ("classes.0.repeat", {"settings": settings(classes=[{"name": "a", "deadlineS": 1, "repeat": "maybe"}])}),
+    ("settings.classes.0: aimS", {"settings": settings(classes=[{"name": "a", "deadlineS": 0}])}),
+    ("settings.tariffs.0: a quota", {"settings": settings(tariffs=[{"name": "p", "unitsPerS": -1}])}),
+    ("settings.balancers: 0", {"settings": settings(balancers=0)}),
+    ("counter: is missing", {"settings": settings(familyInfo={"mayCount": True})}),
+    ("node.queue: 0", {"node": {"queue": 0}}), ("node.queue: 2.5", {"node": {"queue": 2.5}}),
+    ("node.watch_s: 'x'", {"node": {"watch_s": "x"}}), ("node.tempo: there", {"node": {"tempo": 1}}),
+])
+def test_a_faulty_configuration_names_its_key(key: str, changes: dict[str, object]) -> None:
+    given = {"name": "n", "listen": "a:1", "discovery": "b:2", "seed": "ff", "settings": settings()} | changes
+    with pytest.raises(Faulty) as wrong:
+        deployment_of(given, {})
+    assert key in str(wrong.value) and "\n" not in str(wrong.value)
+
+
+def test_variables_stand_in_for_keys_and_defaults_hold() -> None:
+    told = deployment_of({"seed": "0f", "settings": settings()},
+                         {"LB_NAME": "n3", "LB_LISTEN": "1.2.3.4:5", "LB_DISCOVERY": "d:6"})
+    assert (told.name, told.listen, told.discovery, told.seed) == ("n3", ("1.2.3.4", 5), ("d", 6), 15)
+    assert told.bounds == bounds_of({}) and told.counter is None and told.known == ()
+
+
+@pytest.mark.parametrize("environment", [{}, {"LB_CONFIG": "/nowhere/at/all"}, {"LB_CONFIG": __file__}])
+def test_a_configuration_that_can_not_be_read(environment: dict[str, str]) -> None:
+    with pytest.raises(Faulty, match="LB_CONFIG"):
+        read_deployment(environment)
+
+
+@pytest.mark.parametrize("body", ["[]", "{}", '{"index": "x", "endpoints": []}',
+                                  '{"index": 1, "endpoints": [3]}',
+                                  '{"index": 1, "endpoints": [{"name": "s", "status": "SERVING"}]}'])
+def test_malformed_lists_of_discovery(body: str) -> None:
+    with pytest.raises(Malformed):
+        page(json.loads(body))
