What flowed back while an emptied counter was away is no debt

Cause: calls are known to be unmade there, so all that was drawn is told at the return, though it flowed back; news() put right the first to tell only.

--- a/merlintally/choice.py
+++ b/merlintally/choice.py
@@ -76,14 +76,13 @@
         self.limiting, self.others, self.untold, self.extra = float("inf"), 0.0, 0.0, 0.0
         self.heard, self.at, self.seen = -KEEP, now, now
         self.asked: float | None = None  # amount of the add that is on its way
-        self.name, self.total = 0, 0.0  # of the count last added to, and what it was then; 0: not known
+        self.out, self.name, self.total = 0, 0, 0.0  # the count last added to, what it was then; 0: unknown
         self.waiting: list[Submission] = []  # for the answer that is on its way
         self.requests, self.units = Ring(FOLD, FOLDS), Ring(FOLD, FOLDS)
         self.common, self.granted = plan.rate / self.gateways, max(plan.burst / self.gateways, 1.0)
         # Guards restarts: a part of the ceiling fills from empty since this gateway's start.
         self.part_rate, self.part_depth = plan.ceiling_rate / gateways, plan.ceiling_burst / gateways
         self.part = min(self.part_depth, self.part_rate * uptime)
-        self.out = 0
 
     @property
     def average_cost(self) -> float:
@@ -152,10 +151,12 @@
         self.advance(now)
         since, burst, used = now - self.heard, self.plan.burst, total - self.total - added
         level, self.heard = total - self.plan.rate * self.epoch(now)[1], now
+        lacking = burst - self.store if since < STALE else min(added, burst - self.store)  # old: no debt
         if added > 0 and total <= added * 1.000001:
-            lacking = burst - self.store if since < STALE else added  # old news are no debt
             self.untold, self.total = self.untold + lacking - level, 0.0
             return
+        if since >= STALE and used < 0:  # emptied: what flowed back while nothing could be told is no debt
+            self.untold -= added - lacking
         if self.total and used >= 0:
             self.others += (min(self.plan.rate, used / max(since, 0.02)) - self.others) * min(1.0, since)
         self.spare, self.total = burst - level - self.untold, total
@@ -443,8 +444,7 @@
         name = customer.epoch(now)[0]
         if name != customer.name:
             customer.name, customer.total = name, 0.0
-        customer.asked, customer.untold = customer.untold, 0.0
-        self.asking[name] = customer
+        self.asking[name], customer.asked, customer.untold = customer, customer.untold, 0.0
         self.results.adds.append((name, customer.asked, KEEP))
 
     def finish(self, now: float, handle: Submission) -> None:
--- a/tests/test_throttler.py
+++ b/tests/test_throttler.py
@@ -57,6 +57,18 @@
     assert abs(one.store - (PLAN.burst - 5.0)) < 1e-6
 
 
+def test_what_flowed_back_while_the_counter_was_away_is_no_debt_once_it_is_back_empty() -> None:
+    """Guards against refusals with room after an outage: all tell at once what they drew in all that time."""
+    one = customer()
+    one.total, one.store = 500.0, PLAN.burst - 1.0
+    one.news(41.0, 30.0, 107.0)  # thirty units drawn over seven seconds, told after another had begun anew
+    assert one.untold == -30.0 and one.total == 41.0
+    one = customer()
+    one.total, one.store = 30.0, PLAN.burst - 1.0
+    one.news(61.0, 30.0, 107.0)  # nothing was lost: all that was drawn stays told
+    assert one.untold == 0.0
+
+
 def test_count_far_below_nothing_drawn_is_put_right_in_steps() -> None:
     one = customer()
     one.news(PLAN.rate * one.epoch(100.0)[1] - 1.5 * PLAN.burst, 0.0, 100.0)
