--- a/merlintally/net/clients.py
+++ b/merlintally/net/clients.py
@@ -14,6 +14,7 @@
 from merlintally.fields import Malformed
 from merlintally.net.configuration import Deployment
 from merlintally.net.log import Log
+from merlintally.net.phases import Phase, Phases
 from merlintally.net.resp import Span, array_at
 from merlintally.net.sockets import Allowance, Buffer, Stream
 from merlintally.net.taken import COMMANDS, Due, Taken
@@ -27,7 +28,6 @@
     return str(wrong).encode("ascii", "replace").replace(b"\r", b" ").replace(b"\n", b" ")
 
 
-PAUSE = 0.05  # seconds until it is tried again to accept
 SCARCE = {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM}
 
 
@@ -104,7 +104,8 @@
     def _aside(self, name: bytes) -> bytes:
         """What is spoken beside submissions."""
         if name == b"PING":
-            return b"+PONG\r\n" if self.clients.ready else b"-ERR not ready\r\n"
+            serving = self.clients.phases.current is Phase.SERVING
+            return b"+PONG\r\n" if serving else b"-ERR leaving\r\n"
         if name == b"QUIT":
             self.closing = True
         return b"+OK\r\n" if name in (b"CLIENT", b"SELECT", b"QUIT") else b"-ERR unknown command\r\n"
@@ -166,22 +167,21 @@
 class Clients:
     """The listener and all connections of clients."""
 
-    def __init__(self, deployment: Deployment, listener: socket.socket, keeper: Keeper, clock: Clock,
-                 log: Log, group: TaskGroup, descriptors: Allowance) -> None:
-        self.listener, self.bounds = listener, deployment.bounds
+    def __init__(self, deployment: Deployment, listener: socket.socket, phases: Phases, keeper: Keeper,
+                 clock: Clock, log: Log, group: TaskGroup, descriptors: Allowance) -> None:
+        self.listener, self.phases, self.bounds = listener, phases, deployment.bounds
         self.keeper, self.clock, self.log, self.group = keeper, clock, log, group
         self.descriptors, self.held = descriptors, Allowance(deployment.bounds.held_bytes)
         self.lanes = {lane.name: lane for lane in deployment.facts.lanes}
         self.plans = frozenset(plan.name for plan in deployment.facts.plans)
         self.connections: dict[Client, None] = {}
-        self.ready = True
 
     async def accept(self) -> None:
         """Take connections; at the most that may be, an idle one gives way, else new ones wait outside."""
         while True:
             if self.descriptors.full:
                 self.give_way()
-                with anyio.move_on_after(PAUSE):  # one may fall idle meanwhile
+                with anyio.move_on_after(self.bounds.again_s):  # one may fall idle meanwhile
                     await self.descriptors.room()
                 continue
             await anyio.wait_readable(self.listener)
@@ -189,7 +189,7 @@
             if scarce:  # guards against a loop that spins on a listener it can't accept from
                 self.log.say(f"no connection can be accepted: {scarce.strerror}")
                 self.give_way()
-                await anyio.sleep(PAUSE)
+                await anyio.sleep(self.bounds.again_s)
 
     def accept_all(self) -> OSError | None:
         while not self.descriptors.full:
--- a/merlintally/net/configuration.py
+++ b/merlintally/net/configuration.py
@@ -36,7 +36,7 @@
     counter_calls: int = 1024  # calls to the counter that are out at once
     watch_s: float = 10.0  # for which a watch on discovery may wait
     answer_s: float = 1.0  # for which discovery may take beyond that
-    again_s: float = 0.1  # until a broken connection to discovery is tried again
+    again_s: float = 0.1  # until something that broke is tried again
     leave_s: float = 0.5  # for which submissions are still taken after being told to stop
     finish_s: float = 3.4  # after which all that is still open is ended
     late_s: float = 0.1  # by which the loop may run late unsaid
--- a/merlintally/net/discovery.py
+++ b/merlintally/net/discovery.py
@@ -34,8 +34,10 @@
             except Malformed as wrong:
                 self.version = None
                 self._complain(str(wrong))
-            except (OSError, h11.RemoteProtocolError) as wrong:
+            except OSError as wrong:
                 self._complain(str(wrong))
+            except h11.RemoteProtocolError:
+                self._complain("an answer broke off or is no HTTP")
             await anyio.sleep(self.bounds.again_s)
 
     def _complain(self, wrong: str) -> None:
--- a/merlintally/net/node.py
+++ b/merlintally/net/node.py
@@ -9,6 +9,7 @@
 import sys
 import traceback
 from collections.abc import Awaitable, Callable
+from contextlib import ExitStack
 from functools import partial
 
 import anyio
@@ -64,25 +65,33 @@
         if self.listener is None:
             self.bind()
         assert self.listener is not None
-        told, bounds = self.deployment, self.deployment.bounds
+        with ExitStack() as sockets:
+            sockets.enter_context(self.listener)
+            if self.peer_sock is not None:
+                sockets.enter_context(self.peer_sock)
+            await self._serve(self.listener, self.peer_sock, task_status)
+
+    async def _serve(self, listener: socket.socket, peer_sock: socket.socket | None,
+                     task_status: TaskStatus[None]) -> None:
+        told, bounds, log = self.deployment, self.deployment.bounds, self.log
         clock = Clock()
-        keeper = Keeper(told, clock, self.log)
-        timers = keeper.timers = Timers(clock, keeper.post, self.log, bounds.late_s)
-        discovery = Discovery(told.discovery, bounds, keeper, self.log)
+        keeper = Keeper(told, clock, log)
+        timers = keeper.timers = Timers(clock, keeper.post, log, bounds.late_s)
+        discovery = Discovery(told.discovery, bounds, keeper, log)
         most_clients = int((told.sockets - bounds.kept_back) * bounds.client_share)
         most_links = told.sockets - bounds.kept_back - most_clients
         async with anyio.create_task_group() as group:
-            fleet = Fleet(told, keeper, clock, self.log, group, Allowance(most_links), REPORTED)
-            clients = Clients(told, self.listener, keeper, clock, self.log, group, Allowance(most_clients))
+            fleet = Fleet(told, keeper, clock, log, group, Allowance(most_links), REPORTED)
+            clients = Clients(told, listener, self.phases, keeper, clock, log, group, Allowance(most_clients))
             keeper.fleet = fleet
             tasks: list[Callable[[], Awaitable[None]]] = [
                 keeper.run, timers.run, discovery.run, partial(self._sweep, clock, clients, fleet)]
             if told.counter is not None:
-                keeper.counter = Counter(told.counter, told.facts.count_time_out, bounds, keeper, clock,
-                                         timers, self.log)
+                time_out = told.facts.count_time_out
+                keeper.counter = Counter(told.counter, time_out, bounds, keeper, clock, timers, log)
                 tasks.append(keeper.counter.run)
-            if self.peer_sock is not None:
-                keeper.peers = Peers(self.peer_sock, told.peers, told.peers_all, keeper, self.log)
+            if peer_sock is not None:
+                keeper.peers = Peers(peer_sock, told.peers, told.peers_all, keeper, log)
                 tasks.append(keeper.peers.run)
             keeper.listed(list(told.known), True)
             keeper.carry_out()
@@ -97,8 +106,6 @@
                 accepting.cancel_scope.cancel()
             await self._finish(keeper, clients)
             group.cancel_scope.cancel()
-        if self.peer_sock is not None:
-            self.peer_sock.close()
 
     async def _lasting(self, task: Callable[[], Awaitable[None]]) -> None:
         """Guards against a fault in one task that would take the node with it: the task begins again."""
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -1,10 +1,15 @@
 """A node among stand-ins: what becomes of submissions, connections, and the node itself."""
 
+import socket
+from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager, suppress
 from dataclasses import replace
+from unittest.mock import patch
 
 import anyio
 from helpers import Scene, Standin, known, listing, play, said, told
 
+from merlintally.choice import Gateway
 from merlintally.net.configuration import Bounds
 from merlintally.net.phases import Phase
 from merlintally.net.resp import array, bulk
@@ -271,3 +276,85 @@
 
     play(told(known=known(at), bounds=bounds), act, at)
     assert len(at.heard) == 2 and heard[0].startswith(b"-ERR") and heard[1].startswith(b"-BUSY")
+
+
+@contextmanager
+def not_coming_up(standin: Standin) -> Iterator[None]:
+    """Connections to it hang: the line of the listener is full, and nobody accepts."""
+    standin.sock.listen(0)
+    with ExitStack() as filling:
+        for _ in range(3):
+            sock = filling.enter_context(socket.socket())
+            sock.setblocking(False)
+            sock.connect_ex(standin.address)
+        yield
+
+
+def test_a_machine_that_vanished_is_surely_not_run() -> None:
+    gone, heard = server(), list[bytes]()
+
+    async def act(scene: Scene) -> None:
+        heard.append(await scene.ask(said(b"Q.DO", b"c=pay,t=plan,d=900,units=1,spread=1,first=0")))
+
+    with not_coming_up(gone):
+        play(told(known=known(gone), connect_time_out=0.1), act)
+    assert heard[0].startswith(b"-BUSY")
+
+
+def test_a_drain_ends_what_has_still_to_connect() -> None:
+    """Guards against a send past the grace: a connection that comes up late writes nothing any more."""
+    old = server()
+    discovery = Standin(lambda heard: listing(old, status="DRAINING") if b"since" not in heard else b"")
+
+    async def act(scene: Scene) -> None:
+        with not_coming_up(old):
+            asking = await scene.connect()
+            asking.sendall(said(terms=b"c=look,t=plan,d=2000,units=1,spread=1,first=0"))
+            await anyio.sleep(0.1)
+            async with anyio.create_task_group() as group:
+                group.start_soon(discovery.run)
+                await anyio.sleep(0.2)
+                group.start_soon(old.run)
+                await anyio.sleep(1.3)  # the system tries to connect once more after a second
+                group.cancel_scope.cancel()
+            asking.close()
+
+    play(told(known=known(old), discovery=discovery.address, connect_time_out=5.0), act)
+    assert not old.heard
+
+
+def test_a_client_that_reads_nothing_holds_up_nobody_else() -> None:
+    """Guards against answers piling up for one that does not read them: nothing more is read of it."""
+    value = bulk(b"v" * 65000)
+    at = server(b"*1\r\n" + value)
+
+    async def act(scene: Scene) -> None:
+        deaf = await scene.connect()
+        deaf.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        with suppress(BlockingIOError):
+            deaf.sendall(said() * 4000)
+        await anyio.sleep(0.3)
+        assert await scene.ask(said()) == value
+        deaf.close()
+
+    play(told(known=known(at)), act, at)
+
+
+def test_a_datagram_of_a_stranger_or_beyond_256_bytes_is_dropped() -> None:
+    noted = list[tuple[int, bytes]]()
+    ours = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    stranger = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    ours.bind(("127.0.0.1", 0))
+
+    async def act(scene: Scene) -> None:
+        assert scene.node.peer_sock is not None
+        where = scene.node.peer_sock.getsockname()
+        for sock, payload in ((ours, b"a" * 256), (ours, b"b" * 257), (stranger, b"c"), (ours, b"d")):
+            sock.sendto(payload, where)
+        await anyio.sleep(0.1)
+
+    with patch.object(Gateway, "noted", lambda self, now, peer, payload: noted.append((peer, payload))):
+        play(told(peer_listen=("127.0.0.1", 0), peers=(("127.0.0.1", 9), ours.getsockname())), act)
+    ours.close()
+    stranger.close()
+    assert noted == [(1, b"a" * 256), (1, b"d")]
