--- a/merlintally/net/clients.py
+++ b/merlintally/net/clients.py
@@ -25,7 +25,7 @@
 
 def plain(wrong: Malformed) -> bytes:
     """What is wrong, in a form that an error line may carry."""
-    return str(wrong).encode("ascii", "replace").replace(b"\r", b" ").replace(b"\n", b" ")
+    return " ".join(f"{wrong!s:.200}".split()).encode("ascii", "replace")
 
 
 SCARCE = {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM}
--- a/merlintally/net/log.py
+++ b/merlintally/net/log.py
@@ -25,6 +25,6 @@
         self.room -= 1
         more = f" ({self.left_out} lines left out before this one)" if self.left_out else ""
         self.left_out = 0
-        line = " ".join(text.split("\n"))
+        line = " ".join(text[:4000].split())
         with suppress(OSError, ValueError):  # whoever read the log has gone; the node goes on without it
             print(f"{self.name}: {line}{more}", file=self.stream or sys.stderr, flush=True)
--- a/merlintally/net/taken.py
+++ b/merlintally/net/taken.py
@@ -17,6 +17,7 @@
 
 COMMANDS = {b"Q.ASK": True, b"Q.DO": False}  # whether it is for lanes that may run again
 CUSTOMER = re.compile(rb"[0-9a-fA-F]{16}")
+NUMERAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")  # stricter than Python, which also reads 1_0 and 1e9
 LIMIT_TERM = re.compile(rb"(?:^|,)d=([^,]*)")
 
 
@@ -58,10 +59,13 @@
             raise Malformed("the lane does not go with the command")
         if lane.effect == "stamped" and not terms.get("k"):
             raise Malformed("field 'k' is missing")
-        limit, self.units = whole(terms, "d"), number(terms, "units")
-        self.spread, first = whole(terms, "spread"), whole(terms, "first")
-        if limit < 0 or limit > 10**9 or not 0 < self.units <= 10**9 or self.spread < 1 or first < 0:
-            raise Malformed("a number is out of its range")
+        for numeral in ("d", "units", "spread", "first"):
+            if not NUMERAL.fullmatch(text(terms, numeral)):
+                raise Malformed(f"field {numeral!r} is no number from 0 to a billion")
+        limit, self.units, self.spread = whole(terms, "d"), number(terms, "units"), whole(terms, "spread")
+        whole(terms, "first")
+        if self.units <= 0 or self.spread < 1:
+            raise Malformed("fields 'units' and 'spread' are above 0")
         # Guards against a stated wait of weeks, for as long as which all that belongs to it would be kept.
         self.ends, self.size = arrived + min(limit / 1000, lane.hard_limit), len(raw)
         self.number, self.sent, self.gone = 0, 0, False
