An emptied count told also by a rise beyond what others could have drawn

Cause: the check of Customer.news waits for a total that fell; where another node was first to put the count right, it rises by the rate's worth of the outage, and the rest tell their debts on top. Besides: an execution at the last descriptor goes on the place of an idle connection at once, instead of failing first.

--- a/merlintally/choice.py
+++ b/merlintally/choice.py
@@ -155,8 +155,8 @@
         if added > 0 and total <= added * 1.000001:
             self.untold, self.total = self.untold + lacking - level, 0.0
             return
-        if since >= STALE and used < 0:  # emptied: what flowed back while nothing could be told is no debt
-            self.untold -= added - lacking
+        if since >= STALE and self.total and not 0 <= used < 0.75 * self.plan.rate * since:
+            self.untold -= added - lacking  # emptied: what flowed back while nothing could be told is no debt
         if self.total and used >= 0:
             self.others += (min(self.plan.rate, used / max(since, 0.02)) - self.others) * min(1.0, since)
         self.spare, self.total = burst - level - self.untold, total
--- a/merlintally/net/servers.py
+++ b/merlintally/net/servers.py
@@ -236,9 +236,7 @@
                 link.begin(execution)
                 return True
             link.end()
-        if self.descriptors.full:
-            self._give_way()
-        if self.descriptors.full:
+        if self.descriptors.full and not self._give_way():
             self.log.say("no descriptors are left for connections to app servers")
             return False
         try:
@@ -283,9 +281,11 @@
             while server.idle and server.idle[0].idle_since < before:
                 server.idle.pop(0).end()
 
-    def _give_way(self) -> None:
+    def _give_way(self) -> bool:
+        """End the connection that has been idle for longest; False if none is idle."""
         waiting = [server.idle[0] for server in self.servers.values() if server.idle]
         if waiting:
             oldest = min(waiting, key=lambda link: link.idle_since)
             oldest.server.idle.pop(0)
             oldest.end()
+        return bool(waiting)
--- a/tests/test_throttler.py
+++ b/tests/test_throttler.py
@@ -65,6 +65,10 @@
     assert one.untold == -30.0 and one.total == 41.0
     one = customer()
     one.total, one.store = 30.0, PLAN.burst - 1.0
+    one.news(88.0, 30.0, 107.0)  # another has put it right first, with all that flowed back in the epoch
+    assert one.untold == -30.0
+    one = customer()
+    one.total, one.store = 30.0, PLAN.burst - 1.0
     one.news(61.0, 30.0, 107.0)  # nothing was lost: all that was drawn stays told
     assert one.untold == 0.0
 
