What a failed call could not tell is no debt beyond what the store holds

Cause, by a probe that printed each total: customers at their quota owe 20 where the store holds 12, since a try beyond the quota takes nothing from it (Customer.news told all).

--- a/merlintally/choice.py
+++ b/merlintally/choice.py
@@ -62,8 +62,7 @@
     def learn(self, elapsed: float) -> None:
         self.answers += 1  # the floor follows slowly: a slow spell must not become the floor
         self.mean += (elapsed - self.mean) / min(self.answers, 40)
-        drifted = self.floor + (self.mean - self.floor) * 0.0005
-        self.floor = self.mean if self.answers < 40 else min(self.mean, drifted)
+        self.floor += (self.mean - self.floor) * (1 if self.answers < 40 or self.mean < self.floor else 5e-4)
 
 
 class Customer:
@@ -73,7 +72,7 @@
         self.key, self.plan, self.gateways = key, plan, gateways
         self.phase, self.soft = phase(key) * KEEP, plan.beyond_gain > plan.beyond_cost
         self.store = self.spare = plan.burst  # the second as last heard, above the burst where little is used
-        self.limiting, self.others, self.untold, self.extra = float("inf"), 0.0, 0.0, 0.0
+        self.limiting, self.others, self.untold, self.extra, self.failed = float("inf"), 0.0, 0.0, 0.0, 0.0
         self.heard, self.at, self.seen = -KEEP, now, now
         self.asked: float | None = None  # amount of the add that is on its way
         self.out, self.name, self.total = 0, 0, 0.0  # the count last added to, what it was then; 0: unknown
@@ -152,11 +151,13 @@
         since, burst, used = now - self.heard, self.plan.burst, total - self.total - added
         level, self.heard = total - self.plan.rate * self.epoch(now)[1], now
         lacking = burst - self.store if since < STALE else min(added, burst - self.store)  # old: no debt
+        late, self.failed = min(self.failed, added), 0.0  # told late, since a call for it failed
         if added > 0 and total <= added * 1.000001:
             self.untold, self.total = self.untold + lacking - level, 0.0
             return
-        if since >= STALE and self.total and not 0 <= used < 0.75 * self.plan.rate * since:
-            self.untold -= added - lacking  # emptied: what flowed back while nothing could be told is no debt
+        if late > 0 and since >= STALE:  # What passed beyond the quota took nothing from the store, and is no
+            emptied = self.total and not 0 <= used < 0.75 * self.plan.rate * since  # debt, nor is what flowed
+            self.untold -= max(0.0, min(late, level - burst), added - lacking if emptied else 0.0)  # back
         if self.total and used >= 0:
             self.others += (min(self.plan.rate, used / max(since, 0.02)) - self.others) * min(1.0, since)
         self.spare, self.total = burst - level - self.untold, total
@@ -186,8 +187,7 @@
         self.samples, self.cost = SampleRing(1.0, 6), dict[str, float]()
 
     def worth(self, now: float) -> float:
-        on = self.presence == "on" and now >= self.resume
-        return self.places * (1 - self.failing) / self.slow * on
+        return self.places * (1 - self.failing) / self.slow * (self.presence == "on" and now >= self.resume)
 
     def has_place(self, now: float) -> bool:
         return len(self.out) < max(1, int(worth)) if (worth := self.worth(now)) > 0 else False
@@ -343,7 +343,8 @@
             self.pace *= PACES[1] if elapsed > CROWDED * self.facts.count_time_out else PACES[2]
         else:  # an add without an answer may have counted and is not told again
             self.pace *= PACES[0]
-            customer.untold += added if outcome != "timed_out" else 0.0
+            customer.failed = added if outcome != "timed_out" else 0.0
+            customer.untold += customer.failed
         waiting, customer.waiting = customer.waiting, []
         for handle in waiting:
             if not handle.closed:
@@ -596,9 +597,8 @@
     def _expire(self, now: float) -> None:
         """End early what waits, in line or for the counter, and can no longer be in time."""
         queues = [*self.lines.values(), *(customer.waiting for customer in self.asking.values())]
-        for handle in [handle for queue in queues for handle in queue]:
-            if now >= handle.useful and not handle.closed:
-                self.finish(now, handle)
+        for handle in [one for queue in queues for one in queue if now >= one.useful and not one.closed]:
+            self.finish(now, handle)
 
     def _judge(self, now: float) -> None:
         """By a high quantile of answer times against the fellows', drawn to it with few samples. What is out
--- a/tests/test_throttler.py
+++ b/tests/test_throttler.py
@@ -57,20 +57,26 @@
     assert abs(one.store - (PLAN.burst - 5.0)) < 1e-6
 
 
+def told_late(total: float, was: float, added: float = 30.0) -> float:
+    """What a customer takes off its debts on news after seven seconds; totals are beyond what flowed back."""
+    one = customer()
+    flowed = PLAN.rate * one.epoch(107.0)[1]
+    one.total, one.store, one.failed = flowed + was, PLAN.burst - 1.0, added
+    one.news(flowed + total, added, 107.0)
+    return -one.untold
+
+
 def test_what_flowed_back_while_the_counter_was_away_is_no_debt_once_it_is_back_empty() -> None:
     """Guards against refusals with room after an outage: all tell at once what they drew in all that time."""
-    one = customer()
-    one.total, one.store = 500.0, PLAN.burst - 1.0
-    one.news(41.0, 30.0, 107.0)  # thirty units drawn over seven seconds, told after another had begun anew
-    assert one.untold == -30.0 and one.total == 41.0
-    one = customer()
-    one.total, one.store = 30.0, PLAN.burst - 1.0
-    one.news(88.0, 30.0, 107.0)  # another has put it right first, with all that flowed back in the epoch
-    assert one.untold == -30.0
-    one = customer()
-    one.total, one.store = 30.0, PLAN.burst - 1.0
-    one.news(61.0, 30.0, 107.0)  # nothing was lost: all that was drawn stays told
-    assert one.untold == 0.0
+    assert told_late(total=2.0, was=5.0) == 30.0  # lower than before: it was emptied
+    assert told_late(total=5.0, was=-53.0) == 30.0  # emptied, and put right by another, up to the present
+    assert told_late(total=5.0, was=-26.0) == 0.0  # nothing was lost: all that was drawn stays told
+
+
+def test_a_store_lacks_no_more_than_all_it_holds_after_an_outage() -> None:
+    """Guards against refusals for long: what passed beyond the quota took nothing from the store."""
+    assert told_late(total=PLAN.burst + 5.0, was=PLAN.burst - 26.0) == 5.0
+    assert told_late(total=PLAN.burst + 5.0, was=PLAN.burst + 3.0, added=2.0) == 2.0
 
 
 def test_count_far_below_nothing_drawn_is_put_right_in_steps() -> None:
