--- a/merlintally/net/configuration.py
+++ b/merlintally/net/configuration.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import json
-import re
 from collections.abc import Mapping
 from dataclasses import dataclass, field, fields
+from ipaddress import IPv4Address
 from typing import Any
 
 from merlintally.facts import REPORTED, reported_names, start_facts
@@ -67,7 +67,6 @@
     known: tuple[Listed, ...]
     facts: StartFacts
     reported: tuple[str, ...]  # fields of a load report, by their names in the decisions
-    streaming: frozenset[str]
     most_open: int
     connect_time_out: float
     idle_close: float
@@ -79,10 +78,13 @@
     >>> address("10.0.0.4:6379", "listen")
     ('10.0.0.4', 6379)
     """
-    found = re.fullmatch(r"\[?([0-9A-Za-z.:-]+?)\]?:([0-9]{1,5})", value) if isinstance(value, str) else None
-    if not found or not 0 < int(found[2]) < 65536:
-        raise Faulty(f"{key}: {value!r} is no address of the form host:port")
-    return found[1], int(found[2])
+    host, _, port = value.partition(":") if isinstance(value, str) else ("", "", "")
+    try:
+        if port.isdecimal() and 0 < int(port) < 65536:
+            return str(IPv4Address(host)), int(port)
+    except ValueError:  # names are not looked up: that could hold up the whole node
+        pass
+    raise Faulty(f"{key}: {value!r} is no IPv4 address with a port")
 
 
 def flat(value: object, path: str = "") -> Fields:
@@ -188,8 +190,6 @@
         most_open = whole(info, "limits.maxOpen", 20000)
         connect_time_out = number(info, "limits.connectTimeoutS", 0.25)
         idle_close = number(info, "limits.idleCloseS", 15.0)
-        streaming = frozenset(
-            lane.name for at, lane in enumerate(facts.lanes) if info.get(f"classes.{at}.streaming") == "true")
     except Malformed as wrong:
         raise Faulty(f"settings: {wrong}") from None
     check_facts(facts)
@@ -216,9 +216,8 @@
         peer_listen=optional("peer_listen"), peers_all=optional("peers_all"),
         peers=tuple(address(one, f"peers.{at}") for at, one in enumerate(peers)), seed=seed, sockets=sockets,
         known=tuple(servers), facts=facts,
-        reported=tuple(REPORTED.get(name, name) for name in reported_names(info)), streaming=streaming,
-        most_open=most_open, connect_time_out=connect_time_out, idle_close=idle_close,
-        bounds=bounds,
+        reported=tuple(REPORTED.get(name, name) for name in reported_names(info)),
+        most_open=most_open, connect_time_out=connect_time_out, idle_close=idle_close, bounds=bounds,
     )
 
 
--- a/merlintally/net/resp.py
+++ b/merlintally/net/resp.py
@@ -78,7 +78,3 @@
 
 def bulk(value: bytes) -> bytes:
     return b"$%d\r\n%b\r\n" % (len(value), value)
-
-
-def array(*words: bytes) -> bytes:
-    return b"*%d\r\n%b" % (len(words), b"".join(bulk(word) for word in words))
--- a/merlintally/net/servers.py
+++ b/merlintally/net/servers.py
@@ -14,7 +14,7 @@
 from merlintally.interface import LoadReport, Outcome, Presence
 from merlintally.net.configuration import Address, Deployment, Listed
 from merlintally.net.log import Log
-from merlintally.net.resp import array_at, line_end
+from merlintally.net.resp import array_at, bulk, line_end
 from merlintally.net.sockets import Allowance, Stream, connect, tcp_socket
 from merlintally.net.taken import Taken
 from merlintally.net.timers import Clock
@@ -68,8 +68,7 @@
     actual = figures(rows[0]).get("cost", 0.0) if rows else 0.0
     report = report_of(rows[1], reported, names) if len(rows) > 1 and rows[1] else None
     first, last = spans[0]
-    value = b"$%d\r\n%b\r\n" % (last - first, bytes(buffer[first:last]))
-    return Answer("ok", value, actual, report), stop
+    return Answer("ok", bulk(bytes(buffer[first:last])), actual, report), stop
 
 
 def report_of(row: str, reported: frozenset[str], names: dict[str, str]) -> LoadReport | None:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -7,12 +7,12 @@
 from unittest.mock import patch
 
 import anyio
-from helpers import Scene, Standin, known, listing, play, said, told
+from helpers import Scene, Standin, array, known, listing, play, said, told
 
 from merlintally.choice import Gateway
 from merlintally.net.configuration import Bounds
 from merlintally.net.phases import Phase
-from merlintally.net.resp import array, bulk
+from merlintally.net.resp import bulk
 
 OK = b"*3\r\n$2\r\nhi\r\n$-1\r\n$-1\r\n"
 
@@ -57,6 +57,20 @@
     assert heard_of(b"-BUSY\r\n", paid).startswith(b"-BUSY")
 
 
+def test_an_answer_broken_off_at_any_point_is_never_passed_on() -> None:
+    """Guards against a value that no app server gave whole; what may have run is no bounce."""
+    paid, heard = said(b"Q.DO", b"c=pay,t=plan,d=1500,units=1,spread=1,first=0"), list[bytes]()
+
+    async def act(scene: Scene) -> None:
+        heard.append(await scene.ask(paid))
+
+    for stop in (1, 5, 9, 11, len(OK) - 1):
+        at = server(OK[:stop])
+        at.breaks_off = True
+        play(told(known=known(at)), act, at)
+    assert heard == [b"-ERR given up\r\n"] * 5
+
+
 def test_commands_behind_one_another_are_answered_in_order() -> None:
     """Guards against answers that overtake: the first is slow, and things beside submissions come at once."""
     at, heard = server(), list[bytes]()
