--- a/merlintally/net/clients.py
+++ b/merlintally/net/clients.py
@@ -180,7 +180,8 @@
         """Take connections; at the most that may be, an idle one gives way, else new ones wait outside."""
         while True:
             if self.descriptors.full:
-                self.give_way()
+                if not self.give_way():
+                    self.log.say("no descriptors are left for clients, and none of them is idle")
                 with anyio.move_on_after(self.bounds.again_s):  # one may fall idle meanwhile
                     await self.descriptors.room()
                 continue
@@ -209,11 +210,12 @@
             self.group.start_soon(client.run)
         return None
 
-    def give_way(self) -> None:
-        """Close the connection that has been idle for longest."""
+    def give_way(self) -> bool:
+        """Close the connection that has been idle for longest; False if none is idle."""
         idle = [client for client in self.connections if client.idle and not client.closing]
         if idle:
             min(idle, key=lambda client: client.moved_at).end()
+        return bool(idle)
 
     def sweep(self) -> None:
         now = self.clock.now()
