Network code read once more: one head parser, one connect limit, names mapped once

What was written twice or more and is now once: the head of an array and of a bulk string (resp.head_at; with it a check that could not be true goes); a connection's time limit, in three files, now anyio.fail_after, whose TimeoutError is an OSError; the set-up of a TCP socket (sockets.prepared); the names of a load report (facts.reported_names gives those of the decisions, and the table is no longer handed through four calls). Dead: an unused handle and its assert in Keeper._begin, a flag set twice in Link._serve.

--- a/merlintally/benchlink/codec.py
+++ b/merlintally/benchlink/codec.py
@@ -7,7 +7,7 @@
 
 from merlintally.benchlink.framing import split_line
 from merlintally.choice import Gateway, Submission
-from merlintally.facts import REPORTED, reported_names, start_facts
+from merlintally.facts import reported_names, start_facts
 from merlintally.fields import Fields, Malformed, known, number, text, truth, whole
 from merlintally.interface import CounterOutcome, Outcome, Presence, Results, ServerFacts
 
@@ -52,7 +52,7 @@
     """One gateway behind the wire, with the handles of the submissions it still has to do with."""
 
     def __init__(self, info: Fields, salt: int, now: float) -> None:
-        self.reported = [REPORTED.get(name, name) for name in reported_names(info)]
+        self.reported = reported_names(info)
         self.gateway = Gateway(start_facts(info), salt, now)
         self.handles: dict[int, Submission] = {}
 
--- a/merlintally/facts.py
+++ b/merlintally/facts.py
@@ -19,10 +19,11 @@
 
 
 def reported_names(info: Fields) -> list[str]:
+    """The fields of a load report in their order, by their names in the decisions."""
     named = whole(info, "report.names.count", -1)
-    if named < 0:
-        return info.get("report.names", "").split(",")
-    return [info.get(f"report.names.{i}", "") for i in range(named)]
+    names = info.get("report.names", "").split(",") if named < 0 else [
+        info.get(f"report.names.{i}", "") for i in range(named)]
+    return [REPORTED.get(name, name) for name in names]
 
 
 def lane_facts(info: Fields, path: str) -> LaneFacts:
--- a/merlintally/net/clients.py
+++ b/merlintally/net/clients.py
@@ -16,21 +16,21 @@
 from merlintally.net.log import Log
 from merlintally.net.phases import Phase, Phases
 from merlintally.net.resp import Span, array_at
-from merlintally.net.sockets import Allowance, Buffer, Stream
+from merlintally.net.sockets import Allowance, Buffer, Stream, prepared
 from merlintally.net.taken import COMMANDS, Due, Taken
 from merlintally.net.timers import Clock
 
 if TYPE_CHECKING:
     from merlintally.net.keeper import Keeper
 
+SCARCE = {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM}
+
+
 def plain(wrong: Malformed) -> bytes:
     """What is wrong, in a form that an error line may carry."""
     return " ".join(f"{wrong!s:.200}".split()).encode("ascii", "replace")
 
 
-SCARCE = {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM}
-
-
 class Client:
     """One connection. Guards against answers that overtake: each command has its place among those due."""
 
@@ -202,10 +202,8 @@
                 if wrong.errno in SCARCE:
                     return wrong
                 continue  # the client went away before it was accepted
-            sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self.descriptors.take()
-            client = Client(self, sock)
+            client = Client(self, prepared(sock))
             self.connections[client] = None
             self.group.start_soon(client.run)
         return None
--- a/merlintally/net/configuration.py
+++ b/merlintally/net/configuration.py
@@ -66,7 +66,7 @@
     sockets: int
     known: tuple[Listed, ...]
     facts: StartFacts
-    reported: tuple[str, ...]  # fields of a load report, by their names in the decisions
+    reported: dict[str, str]  # fields of a load report that are told, with their names in the decisions
     most_open: int
     connect_time_out: float
     idle_close: float
@@ -116,8 +116,8 @@
         size=number(values, "weight", 1.0), machine=values.get("type", ""),
     )
     try:
-        where = address(entry["address"], "address") if "address" in entry or status != "gone" else None
-    except (Faulty, KeyError) as wrong:
+        where = address(entry.get("address"), "address") if "address" in entry or status != "gone" else None
+    except Faulty as wrong:
         raise Malformed(f"app server {facts.server}: {wrong}") from None
     return Listed(facts, where)
 
@@ -143,8 +143,8 @@
             raise Faulty(f"node.{name}: {value!r} is no number above 0")
         if isinstance(rows[name], int) and not isinstance(value, int):
             raise Faulty(f"node.{name}: {value!r} is no whole number")
-    if given.get("client_share", 0) >= 1 or given.get("idle_share", 0) >= 1:
-        raise Faulty("node.client_share, node.idle_share: a share is below 1")
+        if name.endswith("_share") and value >= 1:
+            raise Faulty(f"node.{name}: {value!r} is no share below 1")
     return Bounds(**given)
 
 
@@ -186,7 +186,7 @@
         raise Faulty("settings: is no object")
     info = flat(given["settings"])
     try:
-        facts = start_facts(info)
+        facts, names = start_facts(info), reported_names(info)
         most_open = whole(info, "limits.maxOpen", 20000)
         connect_time_out = number(info, "limits.connectTimeoutS", 0.25)
         idle_close = number(info, "limits.idleCloseS", 15.0)
@@ -216,7 +216,7 @@
         peer_listen=optional("peer_listen"), peers_all=optional("peers_all"),
         peers=tuple(address(one, f"peers.{at}") for at, one in enumerate(peers)), seed=seed, sockets=sockets,
         known=tuple(servers), facts=facts,
-        reported=tuple(REPORTED.get(name, name) for name in reported_names(info)),
+        reported={name: told for name, told in REPORTED.items() if told in names},
         most_open=most_open, connect_time_out=connect_time_out, idle_close=idle_close, bounds=bounds,
     )
 
--- a/merlintally/net/counter.py
+++ b/merlintally/net/counter.py
@@ -57,7 +57,7 @@
         """Runs in the task that owns the decisions, as all calls of the timers do."""
         if call.over:
             return
-        if not call.written:
+        if call in self.unsent:
             self.unsent.remove(call)
         self._over(call, "timed_out" if call.written else "unreachable")
         if self.stream is not None and self.pending:
@@ -89,12 +89,13 @@
                 await self._wanted.wait()
             stream = Stream(tcp_socket())
             try:
-                with anyio.move_on_after(self.time_out) as limit:
+                with anyio.fail_after(self.time_out):
                     await connect(stream.sock, self.where)
-                if not limit.cancelled_caught:
-                    self.stream, self.heard_at = stream, self.clock.now()
-                    self._write()
-                    await self._listen(stream)
+                self.stream, self.heard_at = stream, self.clock.now()
+                self._write()
+                await self._listen(stream)
+            except TimeoutError:
+                pass  # calls that waited for it are over by themselves, each at its time
             except OSError as wrong:
                 self.log.say(f"the counter can't be reached: {wrong.strerror}")
                 self.pending.extend(self.unsent)
--- a/merlintally/net/discovery.py
+++ b/merlintally/net/discovery.py
@@ -34,6 +34,8 @@
             except Malformed as wrong:
                 self.version = None
                 self._complain(str(wrong))
+            except TimeoutError:
+                self._complain("no answer in time")
             except OSError as wrong:
                 self._complain(str(wrong))
             except h11.RemoteProtocolError:
@@ -48,20 +50,16 @@
     async def _follow(self) -> None:
         stream = Stream(tcp_socket())
         try:
-            with anyio.move_on_after(self.bounds.answer_s) as limit:
+            with anyio.fail_after(self.bounds.answer_s):
                 await connect(stream.sock, self.where)
-            if limit.cancelled_caught:
-                raise OSError("no connection comes up")
             connection = h11.Connection(h11.CLIENT, max_incomplete_event_size=64 << 10)
             while True:
                 target, wait = "/v1/servers", 0.0
                 if self.version is not None:
                     wait = self.bounds.watch_s
                     target += f"?since={self.version}&timeout_ms={int(wait * 1000)}"
-                with anyio.move_on_after(wait + self.bounds.answer_s) as limit:
+                with anyio.fail_after(wait + self.bounds.answer_s):
                     body = await self._get(stream, connection, target)
-                if limit.cancelled_caught:
-                    raise OSError("silent")
                 await self._take(body)
                 if connection.our_state is h11.MUST_CLOSE or connection.their_state is not h11.DONE:
                     return
--- a/merlintally/net/keeper.py
+++ b/merlintally/net/keeper.py
@@ -164,11 +164,9 @@
     def _begin(self, number: int, server: str, time_out: float, now: float) -> None:
         taken = self.taken[number]
         until = min(taken.ends, now + time_out) if time_out else taken.ends
-        handle = taken.handle
-        count = taken.sent = taken.sent + 1
-        execution = Execution(taken, count - 1, now, until)
+        execution = Execution(taken, taken.sent, now, until)
+        taken.sent += 1
         taken.out[execution.number] = execution
-        assert handle is not None
         if self.fleet.send(server, execution):
             self.timers.at(until, self.expired, execution)
         else:
--- a/merlintally/net/node.py
+++ b/merlintally/net/node.py
@@ -15,7 +15,6 @@
 import anyio
 from anyio.abc import TaskStatus
 
-from merlintally.facts import REPORTED
 from merlintally.net.clients import Clients
 from merlintally.net.configuration import Address, Deployment, Faulty, read_deployment
 from merlintally.net.counter import Counter
@@ -81,7 +80,7 @@
         most_clients = int((told.sockets - bounds.kept_back) * bounds.client_share)
         most_links = told.sockets - bounds.kept_back - most_clients
         async with anyio.create_task_group() as group:
-            fleet = Fleet(told, keeper, clock, log, group, Allowance(most_links), REPORTED)
+            fleet = Fleet(told, keeper, clock, log, group, Allowance(most_links))
             clients = Clients(told, listener, self.phases, keeper, clock, log, group, Allowance(most_clients))
             keeper.fleet = fleet
             tasks: list[Callable[[], Awaitable[None]]] = [
--- a/merlintally/net/resp.py
+++ b/merlintally/net/resp.py
@@ -32,24 +32,30 @@
     return found
 
 
-def bulk_at(buffer: bytearray, start: int, end: int) -> tuple[Span | None, int] | None:
-    """The span of the bulk string at `start`, None for null, and where it ends; None while not whole."""
+def head_at(buffer: bytearray, start: int, end: int, mark: bytes, most: int) -> tuple[int, int] | None:
+    """The number behind `mark` at `start`, and where its line ends; None while it is not whole."""
     if start >= end:
         return None
-    if buffer[start] != 0x24:
-        raise Malformed("a bulk string was due")
-    head = line_end(buffer, start, end)
+    if buffer[start] != mark[0]:
+        raise Malformed(f"{mark.decode()} was due")
+    stop = line_end(buffer, start, end)
+    return None if stop is None else (length_at(buffer, start + 1, stop, most), stop + 2)
+
+
+def bulk_at(buffer: bytearray, start: int, end: int) -> tuple[Span | None, int] | None:
+    """The span of the bulk string at `start`, None for null, and where it ends; None while not whole."""
+    head = head_at(buffer, start, end, b"$", MOST_VALUE)
     if head is None:
         return None
-    length = length_at(buffer, start + 1, head, MOST_VALUE)
+    length, first = head
     if length < 0:
-        return None if head + 2 > end else (None, head + 2)
-    stop = head + 2 + length
+        return None, first
+    stop = first + length
     if stop + 2 > end:
         return None
     if buffer[stop:stop + 2] != b"\r\n":
         raise Malformed("a bulk string does not end where it should")
-    return (head + 2, stop), stop + 2
+    return (first, stop), stop + 2
 
 
 def array_at(buffer: bytearray, start: int, end: int) -> tuple[list[Span | None], int] | None:
@@ -58,14 +64,10 @@
     >>> array_at(bytearray(b"*2\\r\\n$4\\r\\nPING\\r\\n$-1\\r\\n"), 0, 19)
     ([(8, 12), None], 19)
     """
-    if start >= end:
-        return None
-    if buffer[start] != 0x2A:
-        raise Malformed("an array was due")
-    head = line_end(buffer, start, end)
+    head = head_at(buffer, start, end, b"*", MOST_WORDS)
     if head is None:
         return None
-    count, at = length_at(buffer, start + 1, head, MOST_WORDS), head + 2
+    count, at = head
     spans: list[Span | None] = []
     for _ in range(count):
         found = bulk_at(buffer, at, end)
--- a/merlintally/net/servers.py
+++ b/merlintally/net/servers.py
@@ -45,8 +45,8 @@
         raise Malformed("the figures of an answer are no numbers") from None
 
 
-def answer_at(buffer: bytearray, start: int, end: int, reported: frozenset[str],
-              names: dict[str, str]) -> tuple[Answer, int] | None:
+def answer_at(buffer: bytearray, start: int, end: int,
+              reported: dict[str, str]) -> tuple[Answer, int] | None:
     """The answer at `start` and where it ends; None while it is not whole."""
     if start >= end:
         return None
@@ -55,7 +55,7 @@
         if stop is None:
             return None
         words = bytes(buffer[start + 1:stop]).decode("ascii", "replace").split(" ")
-        report = report_of(words[-1], reported, names) if "=" in words[-1] else None
+        report = report_of(words[-1], reported) if "=" in words[-1] else None
         return Answer("full" if words[0] == "BUSY" else "error", report=report), stop + 2
     found = array_at(buffer, start, end)
     if found is None:
@@ -66,15 +66,14 @@
     rows = [bytes(buffer[a:b]).decode("ascii", "replace") if one else "" for one in spans[1:3]
             for a, b in [one or (0, 0)]]
     actual = figures(rows[0]).get("cost", 0.0) if rows else 0.0
-    report = report_of(rows[1], reported, names) if len(rows) > 1 and rows[1] else None
+    report = report_of(rows[1], reported) if len(rows) > 1 and rows[1] else None
     first, last = spans[0]
     return Answer("ok", bulk(bytes(buffer[first:last])), actual, report), stop
 
 
-def report_of(row: str, reported: frozenset[str], names: dict[str, str]) -> LoadReport | None:
-    """The load report in a row, of the fields that the settings name."""
-    found = {names.get(name, name): value for name, value in figures(row).items()}
-    return {name: value for name, value in found.items() if name in reported} or None
+def report_of(row: str, reported: dict[str, str]) -> LoadReport | None:
+    """The load report in a row, of the fields that the settings name, by their names in the decisions."""
+    return {reported[name]: value for name, value in figures(row).items() if name in reported} or None
 
 
 class Execution:
@@ -119,9 +118,9 @@
                 await self.fleet.report(execution, Answer("broken" if execution.written else "unreachable"))
 
     async def _serve(self) -> None:
-        with anyio.move_on_after(self.fleet.connect_time_out) as limit:
+        with anyio.fail_after(self.fleet.connect_time_out):
             await connect(self.stream.sock, self.server.address)
-        if limit.cancelled_caught or self.dead:
+        if self.dead:
             return
         self.connected = True
         if self.execution is None:  # called off while it connected: the next one may use it
@@ -130,7 +129,7 @@
             self.begin(self.execution)
         while await self.stream.receive():
             fleet, stream = self.fleet, self.stream
-            found = answer_at(stream.buffer, stream.start, stream.end, fleet.reported, fleet.names)
+            found = answer_at(stream.buffer, stream.start, stream.end, fleet.reported)
             if found is None:
                 if stream.overfull:
                     raise Malformed("an answer is beyond what is allowed")
@@ -141,7 +140,6 @@
                 raise Malformed("an answer came to no question")
             self.execution = None
             self.dead = self.dead or stream.start < stream.end or not execution.written
-            execution.answered = True
             if not self.dead:
                 self.fleet.rest(self)
             await fleet.report(execution, answer)
@@ -187,10 +185,9 @@
     """All app servers that discovery has named."""
 
     def __init__(self, deployment: Deployment, keeper: Keeper, clock: Clock, log: Log, group: TaskGroup,
-                 descriptors: Allowance, names: dict[str, str]) -> None:
+                 descriptors: Allowance) -> None:
         self.keeper, self.clock, self.log, self.group = keeper, clock, log, group
-        self.descriptors, self.names = descriptors, names
-        self.reported = frozenset(deployment.reported)
+        self.descriptors, self.reported = descriptors, deployment.reported
         self.connect_time_out = deployment.connect_time_out
         self.retire_after = deployment.idle_close * deployment.bounds.idle_share
         self.servers: dict[str, Server] = {}
--- a/merlintally/net/sockets.py
+++ b/merlintally/net/sockets.py
@@ -137,13 +137,17 @@
             self.sock.close()
 
 
-def tcp_socket() -> socket.socket:
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+def prepared(sock: socket.socket) -> socket.socket:
+    """Have a TCP socket never block, and send at once what is written."""
     sock.setblocking(False)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     return sock
 
 
+def tcp_socket() -> socket.socket:
+    return prepared(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
+
+
 async def connect(sock: socket.socket, where: tuple[str, int]) -> None:
     """Connect a socket that does not block; raises OSError when it can't be."""
     try:
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -5,13 +5,15 @@
 import os
 import socket
 import time
+from types import SimpleNamespace
+from typing import Any
 
 import pytest
 from helpers import said, told
 
 from merlintally.fields import Malformed
 from merlintally.net.configuration import Faulty, bounds_of, deployment_of, page, read_deployment
-from merlintally.net.counter import outcome_of
+from merlintally.net.counter import Call, Counter, outcome_of
 from merlintally.net.log import Log
 from merlintally.net.phases import Phase, Phases
 from merlintally.net.resp import array_at
@@ -96,18 +98,18 @@
     (b"-SYNTAX\r\n", "error", b"", 0),
 ])
 def test_answers_of_app_servers(raw: bytes, outcome: str, value: bytes, actual: float) -> None:
-    found = answer_at(bytearray(raw), 0, len(raw), frozenset({"held"}), {"inflight": "held"})
+    found = answer_at(bytearray(raw), 0, len(raw), {"inflight": "held"})
     assert found is not None and found[1] == len(raw)
     assert (found[0].outcome, found[0].value, found[0].actual) == (outcome, value, actual)
     assert found[0].report == ({"held": 7.0} if b"inflight" in raw else None)
-    assert all(answer_at(bytearray(raw), 0, stop, frozenset(), {}) is None for stop in range(len(raw)))
+    assert all(answer_at(bytearray(raw), 0, stop, {}) is None for stop in range(len(raw)))
 
 
 @pytest.mark.parametrize("raw", [b"*1\r\n$-1\r\n", b"*0\r\n", b"+OK\r\n",
                                  b"*2\r\n$1\r\na\r\n$10\r\ncost=1.2.3\r\n"])
 def test_malformed_answers_of_app_servers(raw: bytes) -> None:
     with pytest.raises(Malformed):
-        answer_at(bytearray(raw), 0, len(raw), frozenset(), {})
+        answer_at(bytearray(raw), 0, len(raw), {})
 
 
 @pytest.mark.parametrize("answer", ["ok", "ok many", "ok nan", "ok inf", "fine 3", ""])
@@ -116,6 +118,18 @@
         outcome_of(answer)
 
 
+def test_a_call_that_no_connection_took_ends_at_its_time_all_the_same() -> None:
+    """Guards against a customer left waiting: the connection is lost, and that is not yet reported."""
+    over = list[object]()
+    keeper: Any = SimpleNamespace(counted=lambda *row: over.append(row[1]))
+    timers: Any = None
+    counter = Counter(("127.0.0.1", 1), 0.08, bounds_of({}), keeper, Clock(), timers, Log("n", 1.0))
+    call = Call(7, b"tally 7 1 60000\r\n", 0.0)
+    counter.pending.append(call)
+    counter.expired(call)
+    assert over == ["unreachable"] and call.over
+
+
 def test_a_write_cut_short_leaves_the_rest() -> None:
     ours, theirs = socket.socketpair()
     with ours, theirs:
@@ -190,6 +204,7 @@
     ("settings.balancers: 0", {"settings": settings(balancers=0)}),
     ("counter: is missing", {"settings": settings(familyInfo={"mayCount": True})}),
     ("node.queue: 0", {"node": {"queue": 0}}), ("node.queue: 2.5", {"node": {"queue": 2.5}}),
+    ("node.idle_share: 1.5", {"node": {"idle_share": 1.5}}),
     ("node.watch_s: 'x'", {"node": {"watch_s": "x"}}), ("node.tempo: there", {"node": {"tempo": 1}}),
 ])
 def test_a_faulty_configuration_names_its_key(key: str, changes: dict[str, object]) -> None:
