SIGHUP has the configuration read again; discovery and counter move without a lost call

Checked: exit 129 is the default action of SIGHUP; nothing in node.py handled it. Excluded: memory and descriptors (15 MB, 74 of 384). At fault: run_program listened for SIGTERM and SIGINT only; Counter and Discovery held one address for good. Change: SIGHUP rereads through the one reader; a faulty file is told by its key and leaves the old in force; what takes a restart is named. Counter calls written at the old address get their answers there, new ones go to the new; discovery asks the new address for the whole list. SIGHUP is ignored before and after the node listens for it.

--- a/merlintally/net/configuration.py
+++ b/merlintally/net/configuration.py
@@ -73,6 +73,21 @@
     bounds: Bounds = field(default_factory=Bounds)
 
 
+FIXED = {  # what can't change while the node runs, by the keys that it is read from
+    "name": "name", "listen": "listen", "peer_listen": "peer_listen", "peers": "peers",
+    "peers_all": "peers_all", "seed": "seed", "sockets": "limits.sockets", "facts": "settings",
+    "reported": "settings.report", "most_open": "settings.limits.maxOpen",
+    "connect_time_out": "settings.limits.connectTimeoutS", "idle_close": "settings.limits.idleCloseS",
+    "bounds": "node",
+}
+
+
+def fixed_changes(before: Deployment, after: Deployment) -> list[str]:
+    """The keys that differ and take a restart. So does a counter that comes or goes."""
+    keys = [key for row, key in FIXED.items() if getattr(before, row) != getattr(after, row)]
+    return keys + ["counter"] * ((before.counter is None) != (after.counter is None))
+
+
 def address(value: object, key: str) -> Address:
     """
     >>> address("10.0.0.4:6379", "listen")
--- a/merlintally/net/counter.py
+++ b/merlintally/net/counter.py
@@ -28,6 +28,15 @@
         self.written = self.over = False
 
 
+class Line:
+    """One connection to the counter, and the calls written on it in the order of their answers."""
+
+    def __init__(self, stream: Stream, now: float) -> None:
+        self.stream, self.heard_at = stream, now
+        self.pending: deque[Call] = deque()
+        self.left = anyio.Event()  # no more calls are written on it
+
+
 class Counter:
     """Calls without an answer in time are over; their answers are still awaited, for the order's sake."""
 
@@ -36,14 +45,13 @@
         self.where, self.time_out, self.bounds = where, time_out, bounds
         self.keeper, self.clock, self.timers, self.log = keeper, clock, timers, log
         self.unsent: deque[Call] = deque()  # not yet written: nothing is added
-        self.pending: deque[Call] = deque()  # written, in the order of their answers
-        self.stream: Stream | None = None
-        self.heard_at = 0.0
+        self.line: Line | None = None  # on which calls are written
+        self.lines: dict[Line, None] = {}  # it, and those whose last answers are awaited
         self._wanted = anyio.Event()
 
     def add(self, name: int, amount: float, keep: float) -> bool:
         """Make a call; False where too many are out, and nothing is added."""
-        if len(self.unsent) + len(self.pending) >= self.bounds.counter_calls:
+        if len(self.unsent) + sum(len(line.pending) for line in self.lines) >= self.bounds.counter_calls:
             return False
         line = b"tally %d %b %d\r\n" % (name, f"{amount:.6f}".encode(), max(1, int(keep * 1000)))
         call = Call(name, line, self.clock.now())
@@ -53,6 +61,21 @@
         self._wanted.set()
         return True
 
+    def move(self, where: Address) -> None:
+        """Call at another address from now on. Guards against units drawn twice or forgotten: what was
+        written at the old one gets its answer there, or ends as a call that may have counted."""
+        if where != self.where:
+            self.where, line = where, self.line
+            if line is not None:
+                self._leave(line)
+
+    def _leave(self, line: Line) -> None:
+        if self.line is line:
+            self.line = None
+        line.left.set()
+        if not line.pending:
+            line.stream.hang_up()
+
     def expired(self, call: Call) -> None:
         """Runs in the task that owns the decisions, as all calls of the timers do."""
         if call.over:
@@ -60,11 +83,11 @@
         if call in self.unsent:
             self.unsent.remove(call)
         self._over(call, "timed_out" if call.written else "unreachable")
-        if self.stream is not None and self.pending:
-            since = max(self.heard_at, self.pending[0].began)
+        for line in self.lines:
+            since = max(line.heard_at, line.pending[0].began) if line.pending else self.clock.now()
             if self.clock.now() - since > self.bounds.counter_silence_s:
                 self.log.say("the counter is silent; its connection is given up")
-                self.stream.hang_up()
+                line.stream.hang_up()
 
     def _over(self, call: Call, outcome: CounterOutcome, total: float = 0.0) -> None:
         call.over = True
@@ -72,57 +95,72 @@
 
     def _write(self) -> None:
         """Write what waits, once the connection stands. One that takes no more bytes is as good as broken."""
-        while self.unsent and self.stream is not None:
+        while self.unsent and (line := self.line) is not None:
             call = self.unsent.popleft()
-            self.pending.append(call)
+            line.pending.append(call)
             with suppress(OSError):
-                call.written = self.stream.write([call.line])
+                call.written = line.stream.write([call.line])
             if not call.written:
-                self.stream.hang_up()
-                self.stream = None
+                self._leave(line)
+                line.stream.hang_up()
 
     async def run(self) -> None:
         """Connect whenever there are calls to make; a broken connection is seen at once."""
-        while True:
-            if not self.unsent:
-                self._wanted = anyio.Event()
-                await self._wanted.wait()
-            stream = Stream(tcp_socket())
-            try:
-                with anyio.fail_after(self.time_out):
-                    await connect(stream.sock, self.where)
-                self.stream, self.heard_at = stream, self.clock.now()
+        async with anyio.create_task_group() as group:
+            while True:
+                if not self.unsent:
+                    self._wanted = anyio.Event()
+                    await self._wanted.wait()
+                stream, where = Stream(tcp_socket()), self.where
+                try:
+                    with anyio.fail_after(self.time_out):
+                        await connect(stream.sock, where)
+                except OSError as wrong:  # one in time: calls that waited for it are over at their own times
+                    stream.close()
+                    if not isinstance(wrong, TimeoutError):
+                        self.log.say(f"the counter can't be reached: {wrong.strerror}")
+                        await self._lose(self.unsent)
+                    continue
+                if where != self.where:
+                    stream.close()
+                    continue
+                self.line = line = Line(stream, self.clock.now())
+                self.lines[line] = None
+                group.start_soon(self._listen, line)
                 self._write()
-                await self._listen(stream)
-            except TimeoutError:
-                pass  # calls that waited for it are over by themselves, each at its time
-            except OSError as wrong:
-                self.log.say(f"the counter can't be reached: {wrong.strerror}")
-                self.pending.extend(self.unsent)
-                self.unsent.clear()
-            except Malformed as wrong:
-                self.log.say(f"counter: {wrong}; the connection is closed")
-            finally:
-                self.stream = None
-                stream.close()
-            lost, self.pending = self.pending, deque()
-            for call in lost:
-                await self.keeper.post(self._lost, call)
+                await line.left.wait()
+
+    async def _lose(self, calls: deque[Call]) -> None:
+        while calls:
+            await self.keeper.post(self._lost, calls.popleft())
 
     def _lost(self, call: Call) -> None:
         if not call.over:
             self._over(call, "timed_out" if call.written else "unreachable")
 
-    async def _listen(self, stream: Stream) -> None:
-        while await stream.receive():
-            self.heard_at = self.clock.now()
-            while (stop := line_end(stream.buffer, stream.start, stream.end)) is not None:
-                answer = bytes(stream.buffer[stream.start:stop]).decode("ascii", "replace")
-                stream.start = stop + 2
-                if not self.pending:
-                    raise Malformed("an answer came to no call")
-                outcome, total = outcome_of(answer)
-                await self.keeper.post(self._answered, self.pending.popleft(), outcome, total)
+    async def _listen(self, line: Line) -> None:
+        """Hand on the answers until the connection breaks, or the last one on a connection that was left."""
+        try:
+            while (line is self.line or line.pending) and await line.stream.receive():
+                line.heard_at = self.clock.now()
+                await self._answers(line)
+        except Malformed as wrong:
+            self.log.say(f"counter: {wrong}; the connection is closed")
+        finally:
+            self.lines.pop(line, None)
+            self._leave(line)
+            line.stream.close()
+            await self._lose(line.pending)
+
+    async def _answers(self, line: Line) -> None:
+        stream = line.stream
+        while (stop := line_end(stream.buffer, stream.start, stream.end)) is not None:
+            answer = bytes(stream.buffer[stream.start:stop]).decode("ascii", "replace")
+            stream.start = stop + 2
+            if not line.pending:
+                raise Malformed("an answer came to no call")
+            outcome, total = outcome_of(answer)
+            await self.keeper.post(self._answered, line.pending.popleft(), outcome, total)
 
     def _answered(self, call: Call, outcome: CounterOutcome, total: float) -> None:
         if not call.over:
--- a/merlintally/net/discovery.py
+++ b/merlintally/net/discovery.py
@@ -26,11 +26,19 @@
         self.where, self.bounds, self.keeper, self.log = where, bounds, keeper, log
         self.version: int | None = None  # of the list that the node has; None: the whole list is needed
         self.broken = False
+        self._following = anyio.CancelScope()
+
+    def move(self, where: Address) -> None:
+        """Ask at another address from now on, first for the whole list: versions there may be others."""
+        if where != self.where:
+            self.where, self.version = where, None
+            self._following.cancel()
 
     async def run(self) -> None:
         while True:
             try:
-                await self._follow()
+                with anyio.CancelScope() as self._following:
+                    await self._follow()
             except Malformed as wrong:
                 self.version = None
                 self._complain(str(wrong))
--- a/merlintally/net/node.py
+++ b/merlintally/net/node.py
@@ -16,7 +16,7 @@
 from anyio.abc import TaskStatus
 
 from merlintally.net.clients import Clients
-from merlintally.net.configuration import Address, Deployment, Faulty, read_deployment
+from merlintally.net.configuration import Address, Deployment, Faulty, fixed_changes, read_deployment
 from merlintally.net.counter import Counter
 from merlintally.net.discovery import Discovery
 from merlintally.net.keeper import Keeper
@@ -40,6 +40,8 @@
         self.phases = Phases()
         self.listener: socket.socket | None = None
         self.peer_sock: socket.socket | None = None
+        self.discovery: Discovery | None = None
+        self.counter: Counter | None = None
 
     def bind(self) -> None:
         """Take the addresses to listen at, or raise OSError. `serve` does it where it was not done."""
@@ -60,6 +62,15 @@
         """Stop: take what still comes for a while, answer all that was taken, then end."""
         self.phases.enter(Phase.LEAVING)
 
+    def reload(self, after: Deployment) -> None:
+        """Take up another configuration: where discovery and the counter are. The rest is told of."""
+        if fixed := fixed_changes(self.deployment, after):
+            self.log.say(f"configuration: changes only with a restart: {', '.join(fixed)}")
+        if self.discovery is not None:
+            self.discovery.move(after.discovery)
+        if self.counter is not None and after.counter is not None:
+            self.counter.move(after.counter)
+
     async def serve(self, *, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED) -> None:
         if self.listener is None:
             self.bind()
@@ -76,7 +87,7 @@
         clock = Clock()
         keeper = Keeper(told, clock, log)
         timers = keeper.timers = Timers(clock, keeper.post, log, bounds.late_s)
-        discovery = Discovery(told.discovery, bounds, keeper, log)
+        discovery = self.discovery = Discovery(told.discovery, bounds, keeper, log)
         most_clients = int((told.sockets - bounds.kept_back) * bounds.client_share)
         most_links = told.sockets - bounds.kept_back - most_clients
         async with anyio.create_task_group() as group:
@@ -87,8 +98,9 @@
                 keeper.run, timers.run, discovery.run, partial(self._sweep, clock, clients, fleet)]
             if told.counter is not None:
                 time_out = told.facts.count_time_out
-                keeper.counter = Counter(told.counter, time_out, bounds, keeper, clock, timers, log)
-                tasks.append(keeper.counter.run)
+                self.counter = Counter(told.counter, time_out, bounds, keeper, clock, timers, log)
+                keeper.counter = self.counter
+                tasks.append(self.counter.run)
             if peer_sock is not None:
                 keeper.peers = Peers(peer_sock, told.peers, told.peers_all, keeper, log)
                 tasks.append(keeper.peers.run)
@@ -141,23 +153,36 @@
             fleet.sweep()
 
 
+def reread(node: EdgeNode) -> None:
+    """Guards against a new file that is missing, half written or faulty: the old one stays in force."""
+    try:
+        node.reload(read_deployment(os.environ))
+    except Faulty as wrong:
+        node.log.say(f"{wrong}; the old configuration stays in force")
+
+
 async def run_program(deployment: Deployment) -> None:
-    """Serve until told to stop by a signal."""
+    """Serve until told to stop by a signal; SIGHUP has the configuration read again."""
     node = EdgeNode(deployment)
     node.bind()
     async with anyio.create_task_group() as group:
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
             async def listen() -> None:
-                async for _ in signals:
-                    node.leave()
+                async for number in signals:
+                    if number == signal.SIGHUP:
+                        reread(node)
+                    else:
+                        node.leave()
             group.start_soon(listen)
             gc.collect()
             gc.freeze()  # what was loaded at the start lasts: it need not be looked at again
             await node.serve()
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)  # as it is before the node listens for it
         group.cancel_scope.cancel()
 
 
 def main() -> int:
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # guards against one that comes too early, or while it ends
     try:
         deployment = read_deployment(os.environ)
     except Faulty as wrong:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -1,19 +1,31 @@
 """A node among stand-ins: what becomes of submissions, connections, and the node itself."""
 
+import io
+import json
+import os
+import signal
 import socket
+import subprocess
+import sys
 from collections.abc import Iterator
 from contextlib import ExitStack, contextmanager, suppress
 from dataclasses import replace
+from pathlib import Path
 from unittest.mock import patch
 
 import anyio
+import pytest
 from helpers import Scene, Standin, array, known, listing, play, said, told
 
 from merlintally.choice import Gateway
+from merlintally.net import EdgeNode
 from merlintally.net.configuration import Bounds
+from merlintally.net.log import Log
+from merlintally.net.node import reread
 from merlintally.net.phases import Phase
 from merlintally.net.resp import bulk
 
+ROOT = Path(__file__).parent.parent
 OK = b"*3\r\n$2\r\nhi\r\n$-1\r\n$-1\r\n"
 
 
@@ -223,7 +235,8 @@
     return heard
 
 
-ASKED = said(terms=b"c=look,t=plan,d=1500,units=2,spread=2,first=0")
+ASKED_TERMS = b"c=look,t=plan,d=1500,units=2,spread=2,first=0"
+ASKED = said(terms=ASKED_TERMS)
 
 
 def test_the_counter_decides_and_its_silence_is_bounded() -> None:
@@ -237,6 +250,62 @@
         assert counting(lambda heard, say=say: say, ASKED) == [b"$2\r\nhi\r\n"]
 
 
+def test_another_counter_and_discovery_are_taken_up_while_serving() -> None:
+    """Guards against a call forgotten at the old counter, one made twice, and an old list gone by."""
+    at, new_at = server(), server()
+    old, new = Standin(lambda heard: b""), Standin(lambda heard: b"ok 2\r\n")
+    discovery = Standin(lambda heard: listing(new_at, index=1) if b"since" not in heard else b"")
+    deployment = told(known=known(at), counter=old.address)
+    facts = replace(deployment.facts, may_count=True, gateways=2, count_time_out=0.15)
+    deployment, heard = replace(deployment, facts=facts), list[bytes]()
+
+    async def act(scene: Scene) -> None:
+        early = await scene.connect()
+        early.sendall(ASKED)
+        await anyio.sleep(0.05)
+        scene.node.reload(replace(deployment, counter=new.address, discovery=discovery.address))
+        heard.append(await scene.ask(said(terms=ASKED_TERMS, customer=b"00000000b4d65522")))
+        heard.append(await scene.hear(early, until=1))
+        await anyio.sleep(0.2)
+        heard.append(await scene.ask(said(terms=ASKED_TERMS, customer=b"00000000b4d65523")))
+
+    play(deployment, act, at, new_at, old, new, discovery)
+    assert heard == [b"$2\r\nhi\r\n"] * 3 and len(old.heard) == 1 and len(new.heard) >= 2
+    assert not any(call in b"".join(new.heard) for call in old.heard) and new_at.heard
+
+
+@pytest.mark.parametrize("text", [None, "{\"name\"", "{\"discovery\": 7}"])
+def test_a_bad_new_file_leaves_the_old_in_force(text: str | None, tmp_path: Path) -> None:
+    path, said_so, node = tmp_path / "config.json", io.StringIO(), EdgeNode(told())
+    node.log = Log("n", 9.0, said_so)
+    if text is not None:
+        path.write_text(text)
+    with patch.dict(os.environ, {"LB_CONFIG": str(path)}), patch.object(node, "reload") as reload:
+        reread(node)
+    assert not reload.called and said_so.getvalue().endswith("stays in force\n")
+
+
+def test_a_hangup_has_the_file_read_again_and_ends_nothing(tmp_path: Path) -> None:
+    """The program itself, told by signals: it goes on after SIGHUP, and ends after SIGTERM."""
+    path = tmp_path / "config.json"
+    given = json.loads((ROOT / "example/config.json").read_text())
+    with socket.create_server(("127.0.0.1", 0)) as free:
+        given |= {"listen": f"127.0.0.1:{free.getsockname()[1]}", "discovery": "127.0.0.1:1"}
+    path.write_text(json.dumps(given))
+    with subprocess.Popen([sys.executable, "-m", "merlintally"], env=os.environ | {"LB_CONFIG": str(path)},
+                          cwd=ROOT, stderr=subprocess.PIPE, text=True) as program:
+        assert program.stderr is not None
+        try:
+            program.stderr.readline()  # what it has to say of discovery, which is not there: it runs
+            path.write_text("no JSON")
+            program.send_signal(signal.SIGHUP)
+            heard = program.stderr.readline()
+            program.send_signal(signal.SIGTERM)
+            assert "stays in force" in heard and program.wait(10) == 0
+        finally:
+            program.kill()
+
+
 def test_idle_connections_give_way_when_descriptors_run_out() -> None:
     """Guards against a node that stops, or spins, with its last descriptor."""
     at = server()
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -12,7 +12,14 @@
 from helpers import said, told
 
 from merlintally.fields import Malformed
-from merlintally.net.configuration import Faulty, bounds_of, deployment_of, page, read_deployment
+from merlintally.net.configuration import (
+    Faulty,
+    bounds_of,
+    deployment_of,
+    fixed_changes,
+    page,
+    read_deployment,
+)
 from merlintally.net.counter import Call, Counter, outcome_of
 from merlintally.net.log import Log
 from merlintally.net.phases import Phase, Phases
@@ -125,7 +132,7 @@
     timers: Any = None
     counter = Counter(("127.0.0.1", 1), 0.08, bounds_of({}), keeper, Clock(), timers, Log("n", 1.0))
     call = Call(7, b"tally 7 1 60000\r\n", 0.0)
-    counter.pending.append(call)
+    counter.unsent.append(call)
     counter.expired(call)
     assert over == ["unreachable"] and call.over
 
@@ -222,6 +229,12 @@
     assert told.bounds == bounds_of({}) and told.counter is None and told.known == ()
 
 
+def test_another_configuration_names_what_takes_a_restart() -> None:
+    before = told(counter=("127.0.0.1", 1))
+    assert fixed_changes(before, told(counter=("127.0.0.1", 2), discovery=("127.0.0.1", 3))) == []
+    assert fixed_changes(before, told(name="n1", sockets=64)) == ["name", "limits.sockets", "counter"]
+
+
 @pytest.mark.parametrize("environment", [{}, {"LB_CONFIG": "/nowhere/at/all"}, {"LB_CONFIG": __file__}])
 def test_a_configuration_that_can_not_be_read(environment: dict[str, str]) -> None:
     with pytest.raises(Faulty, match="LB_CONFIG"):
