Submissions read strictly, bad clients bounded, servers not blamed for what clients sent

A probe printed what bad clients and app servers said: 225 to 258 submissions of bad clients reached app servers, which answered `-ERR bad request`; each counted as a server's error, and five in a second had servers paused (choice.py answered()). Their customers are beyond 2^33, or their units and sets out of range (taken.py checked neither). Up to 694 errors a second went to one connection that repeated itself. Excluded: hung answers (none was cut short at a time-out), figures read as noise (none in the probe). At fault: taken.py's checks, keeper.ended (what an app server can't use counted as its error), clients.py (no bound on faults, on a connection's first command, on what is read after a fault; 0.7 of the descriptors), figures() (a figure that can't be read lost a good answer), answer_at (an error line of noise kept its connection in use; BUSY and noise was never run). Change: all of these; an id that is open is refused; buffers and commands share a part of limits.memory_mb; clients a third.

--- a/merlintally/facts.py
+++ b/merlintally/facts.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+import math
+
 from merlintally.fields import Fields, known, number, text, truth, whole
 from merlintally.interface import Effect, Group, LaneFacts, PlanFacts, StartFacts
 
@@ -63,7 +65,7 @@
         zone=info.get("az", ""),
         lanes=tuple(lane_facts(info, f"classes.{i}.") for i in range(whole(info, "classes.count", 0))),
         plans=tuple(plan_facts(info, f"tariffs.{i}.") for i in range(whole(info, "tariffs.count", 0))),
-        largest_units=number(info, "familyInfo.largest", 1.0),
+        largest_units=number(info, "familyInfo.largest") if "familyInfo.largest" in info else math.inf,
         settles=truth(info, "familyInfo.postPaid"),
         may_count=truth(info, "familyInfo.mayCount"),
         count_time_out=number(info, "familyInfo.countLimitS", 0.05),
--- a/merlintally/net/clients.py
+++ b/merlintally/net/clients.py
@@ -23,6 +23,7 @@
 if TYPE_CHECKING:
     from merlintally.net.keeper import Keeper
 
+AT_ONCE, LINGERING = 16, 8  # connections accepted, and reads of one that is to be closed, in a row
 SCARCE = {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM}
 
 
@@ -35,10 +36,13 @@
     """One connection. Guards against answers that overtake: each command has its place among those due."""
 
     def __init__(self, clients: Clients, sock: socket.socket) -> None:
-        self.clients, self.stream = clients, Stream(sock)
+        self.clients, self.stream = clients, Stream(sock, clients.held)
         self.due: deque[Due] = deque()
         self.moved_at = clients.clock.now()  # when it last made headway, in either direction
+        self.whole_by = self.moved_at + clients.bounds.client_patience_s  # the command that is being read
         self.closing = self.ended = False
+        self.known = False  # whether it has brought a submission
+        self.faults = 0  # since then
         self._passed = anyio.Event()
 
     @property
@@ -48,12 +52,15 @@
     async def run(self) -> None:
         """Guards against a fault in handling one connection: it ends that one, and no other."""
         try:
-            while await self.stream.receive():
+            while not self.closing:
+                if not (got := await self.stream.receive()):
+                    return
                 self.moved_at = self.clients.clock.now()
+                if got == self.stream.end - self.stream.start:
+                    self._begins()
                 await self._read_commands()
-                if self.closing:
-                    self.stream.start = self.stream.end = 0  # only waits for the other side's end
                 await self.clients.held.room()
+            await self._linger()
         except Exception:
             self.clients.log.say(f"a client's connection failed: {traceback.format_exc()}")
         finally:
@@ -75,6 +82,7 @@
                     return
                 spans, stop = found
                 first, stream.start = stream.start, stop
+                self._begins()
                 if spans:
                     raw = bytes(memoryview(stream.buffer)[first:stop])
                     words = [(one[0] - first, one[1] - first) for one in spans if one is not None]
@@ -85,14 +93,23 @@
             self.closing = True
             self.pass_on()
 
+    def _begins(self) -> None:
+        """A command begins to come, and has to be whole in time; the first one, since the connection came."""
+        if self.known:
+            self.whole_by = self.moved_at + self.clients.bounds.client_patience_s
+
     async def _command(self, raw: bytes, words: list[Span]) -> None:
         name, clients = raw[words[0][0]:words[0][1]].upper(), self.clients
         if name in COMMANDS:
             try:
-                taken = Taken(self, raw, words, clients.lanes, clients.plans, self.moved_at)
+                taken = Taken(self, raw, words, clients.facts, self.moved_at)
             except Malformed as wrong:
                 self.due.append(Due([b"-ERR %b\r\n" % plain(wrong)]))
+                self.pass_on()
+                await self._fault()
+                return
             else:
+                self.known, self.faults = True, 0
                 self.due.append(taken)
                 clients.held.take(taken.size)
                 await clients.keeper.post(clients.keeper.take, taken)
@@ -101,6 +118,30 @@
             self.due.append(Due([self._aside(name)]))
         self.pass_on()
 
+    async def _fault(self) -> None:
+        """Guards against one that sends the same again as soon as it is turned away, and takes the CPU that
+        others need: it is answered at once, and read again a little later; after some faults it is closed."""
+        self.faults += 1
+        if self.faults >= self.clients.bounds.faults:
+            self.closing = True
+            self.pass_on()
+        await anyio.sleep(self.clients.bounds.fault_pause_s)
+
+    async def _linger(self) -> None:
+        """Wait for what is owed, then a moment for the other side's end: what it still sends is left unread,
+        or the error could be lost with the connection's reset."""
+        while self.due or self.stream.unsent:
+            self._passed = anyio.Event()
+            await self._passed.wait()
+            if self.ended:
+                return
+        self.stream.start = self.stream.end = 0
+        with anyio.move_on_after(self.clients.bounds.linger_s):
+            for _ in range(LINGERING):
+                if not await self.stream.receive():
+                    break
+                self.stream.start = self.stream.end = 0
+
     def _aside(self, name: bytes) -> bytes:
         """What is spoken beside submissions."""
         if name == b"PING":
@@ -168,12 +209,11 @@
     """The listener and all connections of clients."""
 
     def __init__(self, deployment: Deployment, listener: socket.socket, phases: Phases, keeper: Keeper,
-                 clock: Clock, log: Log, group: TaskGroup, descriptors: Allowance) -> None:
+                 clock: Clock, log: Log, group: TaskGroup, descriptors: Allowance, held: Allowance) -> None:
         self.listener, self.phases, self.bounds = listener, phases, deployment.bounds
         self.keeper, self.clock, self.log, self.group = keeper, clock, log, group
-        self.descriptors, self.held = descriptors, Allowance(deployment.bounds.held_bytes)
-        self.lanes = {lane.name: lane for lane in deployment.facts.lanes}
-        self.plans = frozenset(plan.name for plan in deployment.facts.plans)
+        self.descriptors, self.held = descriptors, held
+        self.facts = deployment.facts
         self.connections: dict[Client, None] = {}
 
     async def accept(self) -> None:
@@ -186,14 +226,17 @@
                     await self.descriptors.room()
                 continue
             await anyio.wait_readable(self.listener)
-            scarce = self.accept_all()
+            scarce = self.accept_all(AT_ONCE)
+            await anyio.sleep(0)  # guards against others kept waiting where hundreds connect at once
             if scarce:  # guards against a loop that spins on a listener it can't accept from
                 self.log.say(f"no connection can be accepted: {scarce.strerror}")
                 self.give_way()
                 await anyio.sleep(self.bounds.again_s)
 
-    def accept_all(self) -> OSError | None:
-        while not self.descriptors.full:
+    def accept_all(self, most: int = 1 << 30) -> OSError | None:
+        for _ in range(most):
+            if self.descriptors.full:
+                break
             try:
                 sock, _ = self.listener.accept()
             except (BlockingIOError, InterruptedError):
@@ -209,23 +252,31 @@
         return None
 
     def give_way(self) -> bool:
-        """Close the connection that has been idle for longest; False if none is idle."""
-        idle = [client for client in self.connections if client.idle and not client.closing]
-        if idle:
-            min(idle, key=lambda client: client.moved_at).end()
-        return bool(idle)
+        """Close the connection that is needed least: one that is closing, one that has brought nothing, or
+        the one idle for longest. False if there is none."""
+        now, bounds = self.clock.now(), self.bounds
+        rows = [(not client.closing, client.known, client.moved_at, number, client)
+                for number, client in enumerate(self.connections) if not client.due and not client.ended
+                and (client.closing or now - client.moved_at > (
+                    bounds.client_rest_s if client.known else bounds.client_silent_s))]
+        if rows:
+            min(rows)[-1].end()
+        return bool(rows)
 
     def sweep(self) -> None:
-        now = self.clock.now()
+        """Guards against connections held for good: in silence, by a command that never becomes whole,
+        however it drips, or by answers that are not read."""
+        now, bounds = self.clock.now(), self.bounds
         for client in list(self.connections):
-            still = now - client.moved_at
-            if client.idle:
-                if client.closing and still > self.bounds.client_stall_s:
+            still, stream = now - client.moved_at, client.stream
+            begun = stream.start < stream.end or not client.known
+            if stream.unsent or (client.closing and not client.due):
+                if still > bounds.client_stall_s:
                     client.end()
-                elif still > self.bounds.client_idle_s:
-                    client.close_soon()
-            elif still > self.bounds.client_stall_s and (client.stream.unsent or not client.due):
+            elif not client.due and begun and now > client.whole_by:
                 client.end()
+            elif client.idle and still > bounds.client_idle_s:
+                client.close_soon()
 
     def stop_listening(self) -> None:
         """Guards against connections lost between the kernel and the node: all that came are taken first."""
--- a/merlintally/net/configuration.py
+++ b/merlintally/net/configuration.py
@@ -25,12 +25,18 @@
     """What the node allows itself: the object `node` of the configuration may set each of these."""
 
     queue: int = 2048  # calls that wait for the task that owns the decisions
-    client_idle_s: float = 120.0  # a client's connection that stands idle for as long is closed
-    client_stall_s: float = 10.0  # and one on which a command or an answer makes no headway
-    pipelined: int = 32  # commands of one connection that are open at once
-    held_bytes: int = 32 << 20  # of commands and answers held; beyond it nothing more is read
+    client_idle_s: float = 15.0  # a client's connection that stands idle for as long is closed
+    client_rest_s: float = 2.0  # or as long, where another needs its descriptor
+    client_silent_s: float = 0.25  # or as long, there, if it has never brought a submission
+    client_patience_s: float = 2.0  # until a connection brings its first submission, or a command is whole
+    client_stall_s: float = 5.0  # for which an answer may make no headway
+    linger_s: float = 0.3  # for the other side to end a connection, too
+    faults: int = 20  # of the commands on one connection, after which it is closed
+    fault_pause_s: float = 0.05  # after each, until it is read again
+    pipelined: int = 16  # commands of one connection that are open at once
+    held_share: float = 0.2  # of the memory, for commands and answers held; beyond it nothing more is read
     kept_back: int = 32  # descriptors for all that is neither a client nor an app server
-    client_share: float = 0.7  # of the descriptors, for clients
+    client_share: float = 0.333  # of all descriptors, for clients
     idle_share: float = 0.4  # of the app servers' stated idle time, after which a connection is retired
     counter_silence_s: float = 1.0  # without an answer that is due, after which its connection is given up
     counter_calls: int = 1024  # calls to the counter that are out at once
@@ -64,6 +70,7 @@
     peers_all: Address | None
     seed: int
     sockets: int
+    memory: int  # bytes
     known: tuple[Listed, ...]
     facts: StartFacts
     reported: dict[str, str]  # fields of a load report that are told, with their names in the decisions
@@ -75,8 +82,8 @@
 
 FIXED = {  # what can't change while the node runs, by the keys that it is read from
     "name": "name", "listen": "listen", "peer_listen": "peer_listen", "peers": "peers",
-    "peers_all": "peers_all", "seed": "seed", "sockets": "limits.sockets", "facts": "settings",
-    "reported": "settings.report", "most_open": "settings.limits.maxOpen",
+    "peers_all": "peers_all", "seed": "seed", "sockets": "limits.sockets", "memory": "limits.memory_mb",
+    "facts": "settings", "reported": "settings.report", "most_open": "settings.limits.maxOpen",
     "connect_time_out": "settings.limits.connectTimeoutS", "idle_close": "settings.limits.idleCloseS",
     "bounds": "node",
 }
@@ -219,10 +226,14 @@
         raise Faulty(f"seed: {seed!r} is no number in hex digits") from None
     if not isinstance(peers, list):
         raise Faulty("peers: is no list")
-    sockets = limits.get("sockets", 1024) if isinstance(limits, Mapping) else None
+    if not isinstance(limits, Mapping):
+        raise Faulty("limits: is no object")
+    sockets, memory = limits.get("sockets", 1024), limits.get("memory_mb", 128)
     bounds = bounds_of(given.get("node", {}))
     if not isinstance(sockets, int) or sockets < 2 * bounds.kept_back:
         raise Faulty(f"limits.sockets: {sockets!r} is no whole number of {2 * bounds.kept_back} or more")
+    if isinstance(memory, bool) or not isinstance(memory, int | float) or not 8 <= memory < 1e9:
+        raise Faulty(f"limits.memory_mb: {memory!r} is no number of 8 or more")
     if facts.may_count and given.get("counter") is None:
         raise Faulty("counter: is missing, and settings.familyInfo.mayCount says that there is one")
     return Deployment(
@@ -230,7 +241,7 @@
         discovery=address(value("discovery", "LB_DISCOVERY"), "discovery"), counter=optional("counter"),
         peer_listen=optional("peer_listen"), peers_all=optional("peers_all"),
         peers=tuple(address(one, f"peers.{at}") for at, one in enumerate(peers)), seed=seed, sockets=sockets,
-        known=tuple(servers), facts=facts,
+        memory=int(memory * (1 << 20)), known=tuple(servers), facts=facts,
         reported={name: told for name, told in REPORTED.items() if told in names},
         most_open=most_open, connect_time_out=connect_time_out, idle_close=idle_close, bounds=bounds,
     )
--- a/merlintally/net/keeper.py
+++ b/merlintally/net/keeper.py
@@ -22,6 +22,7 @@
 
 GIVEN_UP: list[Buffer] = [b"-ERR given up\r\n"]
 BUSY: list[Buffer] = [b"-BUSY\r\n"]
+SAME_ID: list[Buffer] = [b"-ERR the id is that of an open submission\r\n"]
 
 
 class Keeper:
@@ -38,6 +39,7 @@
         self.counter: Counter | None = None
         self.peers: Peers | None = None
         self.taken: dict[int, Taken] = {}
+        self.ids = set[bytes]()  # of those taken
         self.last_number = 0
         self.soon: deque[tuple[Callable[..., None], tuple[Any, ...]]] = deque()  # the keeper's own calls
         self._send, self._calls = anyio.create_memory_object_stream[
@@ -102,6 +104,10 @@
         if len(self.taken) >= self.most_open:
             self._pass_on(taken, BUSY)
             return
+        if taken.id in self.ids:  # guards against one that gets, or spoils, what is another's
+            self._pass_on(taken, SAME_ID)
+            return
+        self.ids.add(taken.id)
         now = self.clock.now()
         taken.number = self.last_number = self.last_number + 1
         self.taken[taken.number] = taken
@@ -126,7 +132,7 @@
         execution.over = True
         taken, now = execution.taken, self.clock.now()
         taken.out.pop(execution.number, None)
-        if answer.outcome == "ok" and taken.answer is None:
+        if answer.value:
             self._pass_on(taken, [answer.value])
         if taken.handle is not None:
             taken.handle.ended(now, execution.number, answer.outcome, now - execution.began,
@@ -193,5 +199,6 @@
 
     def _forget(self, taken: Taken) -> None:
         if not taken.out and (taken.gone or taken.answer is not None):
-            self.taken.pop(taken.number, None)
+            if self.taken.pop(taken.number, None) is not None:
+                self.ids.discard(taken.id)
             taken.raw = b""  # the timers may know it for a while yet
--- a/merlintally/net/node.py
+++ b/merlintally/net/node.py
@@ -88,11 +88,13 @@
         keeper = Keeper(told, clock, log)
         timers = keeper.timers = Timers(clock, keeper.post, log, bounds.late_s)
         discovery = self.discovery = Discovery(told.discovery, bounds, keeper, log)
-        most_clients = int((told.sockets - bounds.kept_back) * bounds.client_share)
+        most_clients = int(told.sockets * bounds.client_share)
         most_links = told.sockets - bounds.kept_back - most_clients
         async with anyio.create_task_group() as group:
-            fleet = Fleet(told, keeper, clock, log, group, Allowance(most_links))
-            clients = Clients(told, listener, self.phases, keeper, clock, log, group, Allowance(most_clients))
+            held = Allowance(int(told.memory * bounds.held_share))
+            fleet = Fleet(told, keeper, clock, log, group, Allowance(most_links), held)
+            clients = Clients(told, listener, self.phases, keeper, clock, log, group, Allowance(most_clients),
+                              held)
             keeper.fleet = fleet
             tasks: list[Callable[[], Awaitable[None]]] = [
                 keeper.run, timers.run, discovery.run, partial(self._sweep, clock, clients, fleet)]
@@ -147,7 +149,7 @@
 
     async def _sweep(self, clock: Clock, clients: Clients, fleet: Fleet) -> None:
         while True:
-            await anyio.sleep(1.0)
+            await anyio.sleep(0.5)
             clock.follow()
             clients.sweep()
             fleet.sweep()
--- a/merlintally/net/servers.py
+++ b/merlintally/net/servers.py
@@ -22,11 +22,13 @@
 if TYPE_CHECKING:
     from merlintally.net.keeper import Keeper
 
-FIGURE = re.compile(r"([a-z0-9_]+)=(-?[0-9.]+)")
+FIGURE = re.compile(r"([a-z0-9_]+)=(-?[0-9]{1,12}(?:\.[0-9]{1,12})?)")
+ERROR = re.compile(rb"-(BUSY|ERR)((?: [!-~]+)*)")
+UNUSABLE: Outcome = "withdrawn"  # of what an app server can't use: the client's fault, and not the server's
 
 
 class Answer(NamedTuple):
-    """What an app server said of an execution; `value` is the bulk string as it came."""
+    """What an app server said of an execution; `value`, if any, is what the client is told, as a whole."""
 
     outcome: Outcome
     value: bytes = b""
@@ -35,14 +37,13 @@
 
 
 def figures(row: str) -> dict[str, float]:
+    """What can be read of them. Guards against a good answer that is lost for its figures, which are dropped.
+
+    >>> figures("used=37,cost=4"), figures("cost=1.2.3"), figures("cost=nan,used=2")
+    ({'used': 37.0, 'cost': 4.0}, {}, {'used': 2.0})
     """
-    >>> figures("used=37,cost=4")
-    {'used': 37.0, 'cost': 4.0}
-    """
-    try:
-        return {name: float(value) for name, value in FIGURE.findall(row)}
-    except ValueError:
-        raise Malformed("the figures of an answer are no numbers") from None
+    parts = (FIGURE.fullmatch(part) for part in row.split(","))
+    return {part[1]: float(part[2]) for part in parts if part}
 
 
 def answer_at(buffer: bytearray, start: int, end: int,
@@ -54,19 +55,24 @@
         stop = line_end(buffer, start, end)
         if stop is None:
             return None
-        words = bytes(buffer[start + 1:stop]).decode("ascii", "replace").split(" ")
-        report = report_of(words[-1], reported) if "=" in words[-1] else None
-        return Answer("full" if words[0] == "BUSY" else "error", report=report), stop + 2
+        # Guards against noise that looks like an error: what was turned away has surely never run.
+        line = ERROR.fullmatch(bytes(buffer[start:stop]))
+        if line is None:
+            raise Malformed("an error line can't be read")
+        words = line[2].decode("ascii").split(" ")[1:]
+        report = report_of(words[-1], reported) if words and "=" in words[-1] else None
+        if line[1] == b"ERR" and words[:1] != ["failed"]:
+            return Answer(UNUSABLE, b"-ERR refused by the app server\r\n"), stop + 2
+        return Answer("full" if line[1] == b"BUSY" else "error", report=report), stop + 2
     found = array_at(buffer, start, end)
     if found is None:
         return None
     spans, stop = found
-    if not spans or spans[0] is None:
-        raise Malformed("an answer has no value")
-    rows = [bytes(buffer[a:b]).decode("ascii", "replace") if one else "" for one in spans[1:3]
-            for a, b in [one or (0, 0)]]
-    actual = figures(rows[0]).get("cost", 0.0) if rows else 0.0
-    report = report_of(rows[1], reported) if len(rows) > 1 and rows[1] else None
+    if len(spans) != 3 or spans[0] is None:
+        raise Malformed("an answer is not a value and two rows of figures")
+    rows = [bytes(buffer[a:b]).decode("ascii", "replace") for a, b in (one or (0, 0) for one in spans[1:])]
+    actual = max(0.0, figures(rows[0]).get("cost", 0.0))
+    report = report_of(rows[1], reported)
     first, last = spans[0]
     return Answer("ok", bulk(bytes(buffer[first:last])), actual, report), stop
 
@@ -96,7 +102,7 @@
     def __init__(self, fleet: Fleet, server: Server, execution: Execution) -> None:
         self.fleet, self.server = fleet, server
         self.execution: Execution | None = execution
-        self.stream = Stream(tcp_socket())
+        self.stream = Stream(tcp_socket(), fleet.held, waits=False)  # an answer frees more than it takes
         self.idle_since, self.dead, self.connected = 0.0, False, False
         execution.link = self
 
@@ -185,9 +191,9 @@
     """All app servers that discovery has named."""
 
     def __init__(self, deployment: Deployment, keeper: Keeper, clock: Clock, log: Log, group: TaskGroup,
-                 descriptors: Allowance) -> None:
+                 descriptors: Allowance, held: Allowance) -> None:
         self.keeper, self.clock, self.log, self.group = keeper, clock, log, group
-        self.descriptors, self.reported = descriptors, deployment.reported
+        self.descriptors, self.held, self.reported = descriptors, held, deployment.reported
         self.connect_time_out = deployment.connect_time_out
         self.retire_after = deployment.idle_close * deployment.bounds.idle_share
         self.servers: dict[str, Server] = {}
--- a/merlintally/net/sockets.py
+++ b/merlintally/net/sockets.py
@@ -60,10 +60,12 @@
 
 
 class Stream:
-    """One connected socket: bytes `start` to `end` of `buffer` are read and not yet used."""
+    """One connected socket: bytes `start` to `end` of `buffer` are read and not yet used. What the buffer has
+    beyond its first size is held from an allowance; one that `waits` grows only when that has room."""
 
-    def __init__(self, sock: socket.socket) -> None:
+    def __init__(self, sock: socket.socket, held: Allowance | None = None, waits: bool = True) -> None:
         self.sock, self.closed = sock, False
+        self.held, self.waits = held or Allowance(MOST_SIZE), waits
         self.buffer, self.start, self.end = bytearray(FIRST_SIZE), 0, 0
         self.unsent: list[Buffer] = []
 
@@ -74,6 +76,9 @@
             if self.closed:
                 break
             self._make_room()
+            while self.end == len(self.buffer) and self.waits and self.held.full and not self.closed:
+                await self.held.room()
+            self._grow()
             try:
                 got = self.sock.recv_into(memoryview(self.buffer)[self.end:])
             except (BlockingIOError, InterruptedError):
@@ -88,13 +93,18 @@
         if self.start == self.end:
             self.start = self.end = 0
             if len(self.buffer) > FIRST_SIZE:
+                self.held.give(len(self.buffer) - FIRST_SIZE)
                 self.buffer = bytearray(FIRST_SIZE)
         elif self.start and self.end == len(self.buffer):
             kept = self.buffer[self.start:self.end]
             self.buffer[:len(kept)] = kept
             self.start, self.end = 0, len(kept)
+
+    def _grow(self) -> None:
         if self.end == len(self.buffer):
-            self.buffer.extend(bytes(min(len(self.buffer) * 3, max(0, MOST_SIZE - len(self.buffer)))))
+            more = min(len(self.buffer) * 3, max(0, MOST_SIZE - len(self.buffer)))
+            self.held.take(more)
+            self.buffer.extend(bytes(more))
 
     @property
     def overfull(self) -> bool:
@@ -133,6 +143,7 @@
     def close(self) -> None:
         if not self.closed:
             self.closed = True
+            self.held.give(len(self.buffer) - FIRST_SIZE)
             anyio.notify_closing(self.sock)
             self.sock.close()
 
--- a/merlintally/net/taken.py
+++ b/merlintally/net/taken.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from merlintally.fields import Fields, Malformed, number, text, whole
-from merlintally.interface import LaneFacts
+from merlintally.interface import StartFacts
 from merlintally.net.resp import Span
 from merlintally.net.sockets import Buffer
 
@@ -15,9 +15,11 @@
     from merlintally.net.clients import Client
     from merlintally.net.servers import Execution
 
-COMMANDS = {b"Q.ASK": True, b"Q.DO": False}  # whether it is for lanes that may run again
-CUSTOMER = re.compile(rb"[0-9a-fA-F]{16}")
+COMMANDS = {b"Q.ASK": (True, 4), b"Q.DO": (False, 5)}  # whether for lanes that may run again; words
+CUSTOMER = re.compile(rb"0{7}[01][0-9a-fA-F]{8}")
+WORD = re.compile(rb"[!-~]{1,64}")  # an id, as app servers and logs can bear it
 NUMERAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")  # stricter than Python, which also reads 1_0 and 1e9
+BESIDE = 1024  # bytes held for a submission beside its own
 LIMIT_TERM = re.compile(rb"(?:^|,)d=([^,]*)")
 
 
@@ -34,28 +36,30 @@
     """One submission, from its last byte on."""
 
     __slots__ = ("client", "raw", "terms_at", "limit_at", "lane", "customer", "plan", "units", "spread",
-                 "ends", "size", "number", "handle", "out", "sent", "gone")
+                 "id", "ends", "size", "number", "handle", "out", "sent", "gone")
 
-    def __init__(self, client: Client, raw: bytes, words: list[Span], lanes: dict[str, LaneFacts],
-                 plans: frozenset[str], arrived: float) -> None:
+    def __init__(self, client: Client, raw: bytes, words: list[Span], facts: StartFacts,
+                 arrived: float) -> None:
         """Check a command of which `words` are the spans in `raw`; Malformed says what is wrong."""
         super().__init__()
-        if len(words) not in (4, 5):
-            raise Malformed("a submission has 4 or 5 words")
+        repeats, length = COMMANDS[raw[words[0][0]:words[0][1]].upper()]
+        if len(words) != length:
+            raise Malformed(f"this command has {length} words")
         self.client, self.raw, self.terms_at = client, raw, words[3]
-        name, customer, submission = (raw[a:b] for a, b in words[:3])
+        customer, self.id = (raw[a:b] for a, b in words[1:3])
         if not CUSTOMER.fullmatch(customer):
-            raise Malformed("the customer is not 16 hex digits")
-        if not 0 < len(submission) <= 64:
-            raise Malformed("the id has not 1 to 64 bytes")
+            raise Malformed("the customer is not 16 hex digits, a number below 2^33")
+        if not WORD.fullmatch(self.id):
+            raise Malformed("the id is not 1 to 64 printable characters")
         terms, self.limit_at = terms_of(raw, self.terms_at)
-        self.lane, self.plan, self.customer = text(terms, "c"), text(terms, "t"), customer.decode()
-        lane = lanes.get(self.lane)
+        self.lane, self.plan = text(terms, "c"), text(terms, "t")
+        self.customer = customer.decode().lower()
+        lane = next((one for one in facts.lanes if one.name == self.lane), None)
         if lane is None:
             raise Malformed("field 'c' names no lane")
-        if self.plan not in plans:
+        if not any(plan.name == self.plan for plan in facts.plans):
             raise Malformed("field 't' names no plan")
-        if COMMANDS[name.upper()] != (lane.effect == "harmless"):
+        if repeats != (lane.effect == "harmless"):
             raise Malformed("the lane does not go with the command")
         if lane.effect == "stamped" and not terms.get("k"):
             raise Malformed("field 'k' is missing")
@@ -63,11 +67,13 @@
             if not NUMERAL.fullmatch(text(terms, numeral)):
                 raise Malformed(f"field {numeral!r} is no number from 0 to a billion")
         limit, self.units, self.spread = whole(terms, "d"), number(terms, "units"), whole(terms, "spread")
-        whole(terms, "first")
-        if self.units <= 0 or self.spread < 1:
-            raise Malformed("fields 'units' and 'spread' are above 0")
+        # Guards against units drawn from a customer in whose name somebody else sends what can't be.
+        if not 0 < self.units <= facts.largest_units:
+            raise Malformed("field 'units' is not above 0, or beyond the largest")
+        if not 1 <= self.spread <= facts.gateways or whole(terms, "first") >= facts.gateways:
+            raise Malformed("fields 'spread' and 'first' name no set of gateways")
         # Guards against a stated wait of weeks, for as long as which all that belongs to it would be kept.
-        self.ends, self.size = arrived + min(limit / 1000, lane.hard_limit), len(raw)
+        self.ends, self.size = arrived + min(limit / 1000, lane.hard_limit), len(raw) + BESIDE
         self.number, self.sent, self.gone = 0, 0, False
         self.handle: Submission | None = None
         self.out: dict[int, Execution] = {}
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -9,6 +9,7 @@
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from dataclasses import replace
+from itertools import count
 from typing import Any
 
 import anyio
@@ -21,6 +22,7 @@
 from merlintally.net.resp import bulk
 
 PLAN = PlanFacts("plan", 4.0, 8.0, 0, 8.0, 16.0, 1.0, 1.0, 0.0, 1.0)
+IDS = count(1)
 SERVER = ServerFacts("s1", "on", "z", 0, 0.0, 1.0, "m")
 
 
@@ -65,6 +67,7 @@
                         (("look", "repeatable"), ("order", "by_key"), ("pay", "once"))],
             "tariffs": [{"name": "plan", "unitsPerS": 100.0, "mostAtOnce": 100.0}],
             "limits": {"maxAttempts": 3, "mayCancel": True, "maxRetryAfterS": 2.0, "retryAfter": True},
+            "familyInfo": {"largest": 6},
         },
     }
     found = deployment_of(given, {})
@@ -76,9 +79,10 @@
 
 
 def said(name: bytes = b"Q.ASK", terms: bytes = b"c=look,t=plan,d=1500,units=1,spread=1,first=0",
-         body: bytes = b"BODY", customer: bytes = b"00000000b4d65521") -> bytes:
-    """A submission as a client writes it."""
-    return array(name, customer, b"9b1f03aa5c7e2d41", terms, body)
+         body: bytes = b"BODY", customer: bytes = b"00000000b4d65521", number: bytes = b"") -> bytes:
+    """A submission as a client writes it, each with an id of its own."""
+    words = [name, customer, number or b"%016x" % next(IDS), terms]
+    return array(*words, *([body] if name == b"Q.DO" else []))
 
 
 class Standin:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -11,27 +11,35 @@
 from contextlib import ExitStack, contextmanager, suppress
 from dataclasses import replace
 from pathlib import Path
+from typing import Any
 from unittest.mock import patch
 
 import anyio
 import pytest
 from helpers import Scene, Standin, array, known, listing, play, said, told
 
-from merlintally.choice import Gateway
+from merlintally.choice import Gateway, Submission
+from merlintally.interface import Outcome
 from merlintally.net import EdgeNode
 from merlintally.net.configuration import Bounds
 from merlintally.net.log import Log
 from merlintally.net.node import reread
 from merlintally.net.phases import Phase
-from merlintally.net.resp import bulk
+from merlintally.net.resp import array_at, bulk
 
 ROOT = Path(__file__).parent.parent
-OK = b"*3\r\n$2\r\nhi\r\n$-1\r\n$-1\r\n"
+NOTHING = b"$-1\r\n$-1\r\n"
+OK = b"*3\r\n$2\r\nhi\r\n" + NOTHING
 
 
 def server(answer: bytes | None = OK) -> Standin:
     """An app server that gives one answer to all; None: it breaks the connection instead."""
-    return Standin(lambda heard: answer if heard.endswith(b"BODY\r\n") else b"")
+    return Standin(lambda heard: answer if whole(heard) else b"")
+
+
+def whole(heard: bytes) -> bool:
+    """Whether a command, and no more, was heard."""
+    return array_at(bytearray(heard), 0, len(heard)) is not None
 
 
 def heard_of(answer: bytes | None, *asked: bytes) -> bytes:
@@ -57,7 +65,7 @@
 
 def test_a_value_of_64_kib_goes_through() -> None:
     value = bulk(b"v" * 65536)
-    assert heard_of(b"*1\r\n" + value) == value
+    assert heard_of(b"*3\r\n" + value + NOTHING) == value
 
 
 def test_what_may_have_run_is_no_bounce_unless_harmless() -> None:
@@ -108,7 +116,100 @@
     log = play(told(known=known(at)), act, at)
     assert heard[0].startswith(b"$2\r\nhi\r\n-ERR Protocol error") and heard[0].count(b"\r\n") == 3
     assert heard[1].startswith(b"-ERR Protocol") and heard[2] == b"+PONG\r\n" and "closed" in log
-    assert b"".join(at.heard).count(b"BODY") == 1
+    assert b"".join(at.heard).count(b"Q.ASK") == 1
+
+
+def test_the_id_of_an_open_submission_is_refused_and_the_open_one_answered() -> None:
+    """Guards against another's answer: whoever uses an id that is open gets neither it nor in its way."""
+    at, heard = Standin(lambda heard: OK if heard.count(b"Q.ASK") > 1 else b""), list[bytes]()
+
+    async def act(scene: Scene) -> None:
+        first = await scene.connect()
+        first.sendall(said(number=b"7"))
+        await anyio.sleep(0.05)
+        heard.append(await scene.ask(said(number=b"7", customer=b"00000000b4d65522")))
+        assert len(at.heard) == 1
+        first.close()
+        await anyio.sleep(0.05)
+        again = await scene.connect()
+        again.sendall(said(number=b"7"))
+        await anyio.sleep(0.05)
+        assert len(at.heard) == 2  # it may be used once more when it is no longer open
+
+    play(told(known=known(at)), act, at)
+    assert heard[0].startswith(b"-ERR the id")
+
+
+def test_silent_dripping_and_half_said_connections_are_closed_in_time() -> None:
+    """Guards against connections held for good by clients that never bring a submission."""
+    bounds, at = Bounds(client_patience_s=0.3, client_rest_s=0.1), server()
+
+    async def act(scene: Scene) -> None:
+        silent, half, dripping, pinging = [await scene.connect() for _ in range(4)]
+        usual = await scene.connect()
+        half.sendall(said()[:40])
+        for count in range(20):
+            with suppress(OSError):
+                dripping.sendall(b"*4\r\n$5\r\nQ.ASK\r\n$16\r\n"[count:count + 1])
+                pinging.sendall(array(b"PING"))
+            if count % 4 == 0:
+                usual.sendall(said())
+            await anyio.sleep(0.06)
+        assert await scene.hear(usual, until=5) == b"$2\r\nhi\r\n" * 5
+        for sock in (silent, half, dripping, pinging):
+            with anyio.fail_after(0.1):
+                await scene.hear(sock)
+
+    play(told(known=known(at), bounds=bounds), act, at)
+
+
+def test_one_that_repeats_what_is_turned_away_is_slowed_and_closed() -> None:
+    """Guards against the CPU that it would take: the first error comes at once, and the connection ends."""
+    heard = list[bytes]()
+
+    async def act(scene: Scene) -> None:
+        began = anyio.current_time()
+        heard.append(await scene.ask(said(terms=b"c=nap") * 300))
+        assert anyio.current_time() - began < 0.5
+        heard.append(await scene.ask(said(terms=b"c=nap") * 300, until=0))
+        assert anyio.current_time() - began > 0.12
+
+    play(told(bounds=Bounds(faults=8, fault_pause_s=0.02)), act)
+    assert heard[0].startswith(b"-ERR") and heard[1].count(b"-ERR") == 8
+
+
+def test_what_is_sent_behind_a_fault_is_not_read() -> None:
+    """Guards against the CPU and memory that 60 MB behind a head that can't be would take."""
+    async def act(scene: Scene) -> None:
+        sock = await scene.connect()
+        sock.sendall(array(*[b"x"] * 4).replace(b"*4", b"*5") + b"$60000000\r\n")
+        sent, began = 0, anyio.current_time()
+        with suppress(ConnectionError):
+            while sent < 60_000_000 and anyio.current_time() - began < 2.0:
+                with suppress(BlockingIOError):
+                    sent += sock.send(b"x" * 65536)
+                await anyio.sleep(0)
+        assert sent < 30_000_000 and anyio.current_time() - began < 1.5
+        assert await scene.ask(array(b"PING")) == b"+PONG\r\n"
+
+    play(told(), act)
+
+
+def test_what_an_app_server_can_not_use_is_the_clients_fault() -> None:
+    """Guards against servers that are left out for what a bad client sent: it is not sent again either."""
+    at, ends = server(b"-ERR bad request\r\n"), list[object]()
+    real = Submission.ended
+
+    def ended(self: Submission, now: float, number: int, outcome: Outcome, *rest: Any) -> None:
+        ends.append((outcome, rest[1]))
+        real(self, now, number, outcome, *rest)
+
+    async def act(scene: Scene) -> None:
+        assert (await scene.ask(said())).startswith(b"-ERR refused")
+
+    with patch.object(Submission, "ended", ended):
+        play(told(known=known(at)), act, at)
+    assert ends == [("withdrawn", True)] and len(at.heard) == 1
 
 
 def test_a_client_that_goes_away_calls_its_execution_off() -> None:
@@ -156,7 +257,7 @@
 
 def test_a_connection_closed_by_its_server_is_seen_and_nothing_is_written_to_it() -> None:
     answers = iter([OK, None, OK])
-    at = Standin(lambda heard: next(answers) if heard.endswith(b"BODY\r\n") else b"")
+    at = Standin(lambda heard: next(answers) if whole(heard) else b"")
 
     async def act(scene: Scene) -> None:
         assert await scene.ask(said()) == b"$2\r\nhi\r\n"
@@ -323,9 +424,9 @@
     at, heard = server(), list[bytes]()
 
     async def act(scene: Scene) -> None:
-        heard.append(await scene.ask(said() * 60, until=60))
+        heard.append(await scene.ask(*(said() for _ in range(60)), until=60))
 
-    play(told(known=known(at), bounds=Bounds(queue=1, pipelined=3, held_bytes=200)), act, at)
+    play(told(known=known(at), memory=1000, bounds=Bounds(queue=1, pipelined=3)), act, at)
     assert heard[0] == b"$2\r\nhi\r\n" * 60
 
 
@@ -409,13 +510,13 @@
 def test_a_client_that_reads_nothing_holds_up_nobody_else() -> None:
     """Guards against answers piling up for one that does not read them: nothing more is read of it."""
     value = bulk(b"v" * 65000)
-    at = server(b"*1\r\n" + value)
+    at = server(b"*3\r\n" + value + NOTHING)
 
     async def act(scene: Scene) -> None:
         deaf = await scene.connect()
         deaf.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
         with suppress(BlockingIOError):
-            deaf.sendall(said() * 4000)
+            deaf.sendall(b"".join(said() for _ in range(4000)))
         await anyio.sleep(0.3)
         assert await scene.ask(said()) == value
         deaf.close()
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 import pytest
-from helpers import said, told
+from helpers import array, said, told
 
 from merlintally.fields import Malformed
 from merlintally.net.configuration import (
@@ -33,9 +33,8 @@
 def taken(raw: bytes) -> Taken:
     found = array_at(bytearray(raw), 0, len(raw))
     assert found is not None
-    lanes = {lane.name: lane for lane in told().facts.lanes}
     words = [span for span in found[0] if span is not None]
-    return Taken(None, raw, words, lanes, frozenset({"plan"}), 100.0)  # type: ignore[arg-type]
+    return Taken(None, raw, words, told().facts, 100.0)  # type: ignore[arg-type]
 
 
 def wrong_with(raw: bytes) -> str:
@@ -62,9 +61,9 @@
 
 
 def test_a_submission_goes_on_unchanged_but_for_the_time_waited() -> None:
-    terms = b"t=plan,c=order,d=1500,k=5c0f,x=d=1500,units=2,spread=3,first=1"
-    message = b"".join(taken(said(b"Q.DO", terms, b"d=1500")).message(0.0724))
-    assert message == said(b"Q.DO", terms.replace(b"r,d=1500", b"r,d=72"), b"d=1500")
+    terms = b"t=plan,c=order,d=1500,k=5c0f,x=d=1500,units=2,spread=1,first=0"
+    message = b"".join(taken(said(b"Q.DO", terms, b"d=1500", number=b"7")).message(0.0724))
+    assert message == said(b"Q.DO", terms.replace(b"r,d=1500", b"r,d=72"), b"d=1500", number=b"7")
 
 
 def test_a_client_waits_no_longer_than_its_lane_allows() -> None:
@@ -83,7 +82,7 @@
     ("'first' is no number", said(terms=b"c=look,t=plan,d=9,units=1,spread=1,first=1e9")),
     ("'units' is no number", said(terms=b"c=look,t=plan,d=9,units=nan,spread=1,first=0")),
     ("above 0", said(terms=b"c=look,t=plan,d=9,units=0,spread=1,first=0")),
-    ("above 0", said(terms=b"c=look,t=plan,d=9,units=1,spread=0,first=0")),
+    ("no set", said(terms=b"c=look,t=plan,d=9,units=1,spread=0,first=0")),
     ("'first' is missing", said(terms=b"c=look,t=plan,d=9,units=1,spread=1")),
     ("name=value", said(terms=b"c=look,t=plan,d=9,,units=1,spread=1,first=0")),
     ("name=value", said(terms=b"c=look,c=order,t=plan,d=9,units=1,spread=1,first=0")),
@@ -92,6 +91,13 @@
     ("go with the command", said(b"Q.DO")),
     ("go with the command", said(b"Q.ASK", b"c=pay,t=plan,d=9,units=1,spread=1,first=0")),
     ("16 hex", said(customer=b"00000000b4d6552x")),
+    ("below 2^33", said(customer=b"0000000200000000")),
+    ("beyond the largest", said(terms=b"c=look,t=plan,d=9,units=7,spread=1,first=0")),
+    ("no set", said(terms=b"c=look,t=plan,d=9,units=1,spread=2,first=0")),
+    ("no set", said(terms=b"c=look,t=plan,d=9,units=1,spread=1,first=1")),
+    ("has 4 words", said() .replace(b"*4", b"*5") + b"$4\r\nBODY\r\n"),
+    ("has 5 words", array(b"Q.DO", b"00000000b4d65521", b"7", b"c=pay,t=plan,d=9,units=1,spread=1,first=0")),
+    ("the id is", said(number=b"a b")),
 ])
 def test_a_bad_submission_is_refused_by_name(wrong: str, raw: bytes) -> None:
     assert wrong in wrong_with(raw)
@@ -99,10 +105,11 @@
 
 @pytest.mark.parametrize(("raw", "outcome", "value", "actual"), [
     (b"*3\r\n$2\r\nhi\r\n$14\r\nused=37,cost=4\r\n$-1\r\n", "ok", b"$2\r\nhi\r\n", 4),
-    (b"*1\r\n$0\r\n\r\n", "ok", b"$0\r\n\r\n", 0),
+    (b"*3\r\n$0\r\n\r\n$-1\r\n$-1\r\n", "ok", b"$0\r\n\r\n", 0),
+    (b"*3\r\n$2\r\nhi\r\n$10\r\ncost=1.2.3\r\n$5\r\n\xff=\n=,\r\n", "ok", b"$2\r\nhi\r\n", 0),
+    (b"-ERR bad request\r\n", "withdrawn", b"-ERR refused by the app server\r\n", 0),
     (b"*3\r\n$2\r\nhi\r\n$-1\r\n$23\r\ninflight=7,queue=2,x=.6\r\n", "ok", b"$2\r\nhi\r\n", 0),
     (b"-ERR failed used=3\r\n", "error", b"", 0), (b"-BUSY\r\n", "full", b"", 0),
-    (b"-SYNTAX\r\n", "error", b"", 0),
 ])
 def test_answers_of_app_servers(raw: bytes, outcome: str, value: bytes, actual: float) -> None:
     found = answer_at(bytearray(raw), 0, len(raw), {"inflight": "held"})
@@ -112,9 +119,12 @@
     assert all(answer_at(bytearray(raw), 0, stop, {}) is None for stop in range(len(raw)))
 
 
-@pytest.mark.parametrize("raw", [b"*1\r\n$-1\r\n", b"*0\r\n", b"+OK\r\n",
-                                 b"*2\r\n$1\r\na\r\n$10\r\ncost=1.2.3\r\n"])
-def test_malformed_answers_of_app_servers(raw: bytes) -> None:
+@pytest.mark.parametrize("raw", [
+    b"*3\r\n$-1\r\n$-1\r\n$-1\r\n", b"*0\r\n", b"+OK\r\n", b":5\r\n", b"*1000000000\r\n",
+    b"*3\r\n$3000000000\r\n", b"*3\r\n$4\r\nabcdefgh\r\n", b"*3\r\n$-7\r\n", b"-BUSYx\r\n", b"-BUSY \xff\r\n",
+    b"-\x07noise\r\n", b"-" + b"x" * 600])
+def test_spoilt_answers_of_app_servers(raw: bytes) -> None:
+    """Guards against one that counts as never run, or that leaves a connection in use that is of none."""
     with pytest.raises(Malformed):
         answer_at(bytearray(raw), 0, len(raw), {})
 
