Counter: few calls out at once, and a spoilt answer is told by its first bytes

Checked with a probe of each call's time: a call takes 5.6 ms (rude) and 7.7 ms (churn) at an idle counter, 5 to 22 are out at a node, times spread to the time-out of 80 ms; capacity is about 130 to 180 calls a second for four nodes. So calls pile up and end too late, and the line they leave delays the next. Excluded: spoilt answers as the main cause (about 100 of 3,700 calls on rude, none on churn), resets (12). At fault: choice._may_call (a pace alone, with a burst of a quarter second of it), counted() (a spoilt answer slowed the pace as a slow counter does), counter.py (noise without an end was waited for, with all calls behind it). Left: there is not one call for each try.

--- a/merlintally/choice.py
+++ b/merlintally/choice.py
@@ -299,8 +299,8 @@
         self.lines: dict[Lane, deque[Submission]] = {lane: deque() for lane in order}  # served in this order
         self.open: dict[int, Submission] = {}
         self.pulls, self.good = Ring(0.25, 6), Ring(1.0, 10)
-        self.pace, self.calls, self.strain = PACE / facts.gateways, 1.0, 1.0
-        self.answers, self.out, self.worth, self.worth_at = 0, 0, 1.0, -1.0
+        self.pace, self.calls, self.crowded = PACE / facts.gateways, 1.0, CROWDED * facts.count_time_out
+        self.answers, self.out, self.strain, self.worth, self.worth_at = 0, 0, 1.0, 1.0, -1.0
         self.started = self.paced_at = self.fitted = self.swept = now
         self.alarm, self.results = 0.0, Results()
 
@@ -340,9 +340,9 @@
         added, customer.asked = customer.asked, None
         if outcome == "ok":
             customer.news(total, added, now)
-            self.pace *= PACES[1] if elapsed > CROWDED * self.facts.count_time_out else PACES[2]
+            self.pace *= PACES[1] if elapsed > self.crowded else PACES[2]
         else:  # an add without an answer may have counted and is not told again
-            self.pace *= PACES[0]
+            self.pace *= PACES[0] if outcome != "timed_out" or elapsed > self.crowded else 1
             customer.failed = added if outcome != "timed_out" else 0.0
             customer.untold += customer.failed
         waiting, customer.waiting = customer.waiting, []
@@ -353,8 +353,7 @@
         self._tell(now, customer, outcome == "ok" and wrong)
         self.pull(now)
 
-    def noted(self, now: float, peer: int, payload: bytes) -> None:
-        """None are sent yet."""
+    def noted(self, now: float, peer: int, payload: bytes) -> None: ...
 
     def wake(self, now: float) -> None:
         if now < self.alarm - 0.0005:
@@ -433,12 +432,13 @@
             self._call(now, customer)
 
     def _may_call(self, now: float, telling: bool = False) -> bool:
-        """The pace follows the answers. Telling leaves one call for a submission that has to ask."""
+        """The pace follows the answers, and so does how many may be out: at a slow counter they would pile up,
+        too late. Telling leaves one for a submission that has to ask."""
         passed, self.paced_at = now - self.paced_at, now
         if self.pace < (part := PACE / self.facts.gateways):  # failures must not bring it to nothing
             self.pace = min(part, self.pace + PACES[3] * part * passed)
         self.calls = min(self.pace * 0.25 + 2, self.calls + passed * self.pace)
-        return self.calls >= 1 + telling
+        return self.calls >= 1 + telling and len(self.asking) < 1 + self.pace * self.crowded / 2
 
     def _call(self, now: float, customer: Customer) -> None:
         self.calls -= 1
--- a/merlintally/net/counter.py
+++ b/merlintally/net/counter.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from collections import deque
 from contextlib import suppress
 from typing import TYPE_CHECKING
@@ -20,6 +21,10 @@
     from merlintally.net.keeper import Keeper
 
 
+PART = re.compile(rb"|".join((  # of an answer; guards against waiting for the end of one that is spoilt
+    rb"o?|ok|ok [-+.0-9e]{0,40}\r?", *(word[:at] for word in (b"busy\r", b"error\r") for at in range(1, 7)))))
+
+
 class Call:
     __slots__ = ("name", "line", "began", "written", "over")
 
@@ -161,6 +166,8 @@
                 raise Malformed("an answer came to no call")
             outcome, total = outcome_of(answer)
             await self.keeper.post(self._answered, line.pending.popleft(), outcome, total)
+        if not PART.fullmatch(stream.buffer, stream.start, stream.end):
+            raise Malformed("an answer begins in an unknown form")
 
     def _answered(self, call: Call, outcome: CounterOutcome, total: float) -> None:
         if not call.over:
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -20,7 +20,7 @@
     page,
     read_deployment,
 )
-from merlintally.net.counter import Call, Counter, outcome_of
+from merlintally.net.counter import PART, Call, Counter, outcome_of
 from merlintally.net.log import Log
 from merlintally.net.phases import Phase, Phases
 from merlintally.net.resp import array_at
@@ -135,6 +135,17 @@
         outcome_of(answer)
 
 
+@pytest.mark.parametrize("part", [b"", b"o", b"ok", b"ok ", b"ok -1.5e+1", b"ok 3\r", b"busy\r", b"e"])
+def test_part_of_an_answer_of_the_counter_is_waited_for(part: bytes) -> None:
+    assert PART.fullmatch(part)
+
+
+@pytest.mark.parametrize("part", [b"x", b"oK", b"ok x", b"\xff\xff", b"ok 1 ", b"buzz", b"ok " + b"1" * 60])
+def test_what_is_no_part_of_an_answer_is_not(part: bytes) -> None:
+    """Guards against calls that wait behind a spoilt answer for an end that never comes."""
+    assert not PART.fullmatch(part)
+
+
 def test_a_call_that_no_connection_took_ends_at_its_time_all_the_same() -> None:
     """Guards against a customer left waiting: the connection is lost, and that is not yet reported."""
     over = list[object]()
--- a/tests/test_throttler.py
+++ b/tests/test_throttler.py
@@ -135,6 +135,26 @@
     assert at.pace > 1.0
 
 
+def test_calls_do_not_pile_up_at_a_slow_counter() -> None:
+    """Guards against a line of calls there that all end without an answer: few are out, however many may be."""
+    at = gateway()
+    at.calls, at.paced_at, at.pace = 50.0, 100.0, 100.0
+    at.asking = {number: at.customers["c"] for number in range(4)}
+    assert not at._may_call(100.0)
+    at.asking.popitem()
+    at.asking.popitem()
+    assert at._may_call(100.0)
+
+
+def test_an_answer_that_was_spoilt_is_no_sign_of_a_slow_counter() -> None:
+    at = gateway()
+    for elapsed, slows in ((0.002, False), (0.05, True)):
+        one, pace = at.customers["c"], at.pace
+        at.asking[1], one.asked = one, 2.0
+        at.counted(100.0, 1, "timed_out", 0.0, elapsed)
+        assert (at.pace < pace) == slows
+
+
 def test_refused_add_is_told_again_and_slows_the_pace() -> None:
     at = gateway()
     one, pace = at.customers["c"], at.pace
