--- a/merlintally/choice.py
+++ b/merlintally/choice.py
@@ -432,7 +432,7 @@
             self._call(now, customer)
 
     def _may_call(self, now: float, telling: bool = False) -> bool:
-        """The pace follows the answers, and so does how many may be out: at a slow counter they would pile up,
+        """The pace follows the answers, and so does how many may be out: at a slow counter they pile up, all
         too late. Telling leaves one for a submission that has to ask."""
         passed, self.paced_at = now - self.paced_at, now
         if self.pace < (part := PACE / self.facts.gateways):  # failures must not bring it to nothing
--- a/tests/test_throttler.py
+++ b/tests/test_throttler.py
@@ -136,7 +136,7 @@
 
 
 def test_calls_do_not_pile_up_at_a_slow_counter() -> None:
-    """Guards against a line of calls there that all end without an answer: few are out, however many may be."""
+    """Guards against a line of calls that all come too late: few are out, however many may be."""
     at = gateway()
     at.calls, at.paced_at, at.pace = 50.0, 100.0, 100.0
     at.asking = {number: at.customers["c"] for number in range(4)}
