A client that leaves at once takes no wake-up and no other row with it

Checked in its log: twice "a call failed ... _begin: KeyError" in keeper.carry_out, the last before its growth began. The submission and its client's leaving came in one batch of the queue, so that its send named one no longer known; the exception dropped all rows behind it, and with it the wake-up: the module's alarm stayed set and it was never woken again (no sums fitted, nothing forgotten). The dropped send counted as out at its server for good. Excluded: connections and descriptors (level at 55 to 66), the module's tables elsewhere (level). At fault: Keeper.left forgot at once; carry_out had no bound round a row and set the wake-up last. Change: what left is forgotten after its sends are done, which end as never sent; each row is a call of its own; the wake-up is set first.

--- a/merlintally/net/keeper.py
+++ b/merlintally/net/keeper.py
@@ -71,28 +71,29 @@
             self.log.say(f"a call failed: {traceback.format_exc()}")
 
     def carry_out(self) -> None:
-        """Do what the decisions want, sends first, so that a later row may name them."""
+        """Do what the decisions want, sends first, so that a later row may name them. Guards against a row
+        that fails and takes the others with it: each is one call, and the wake-up is never lost."""
         while True:
             now = self.clock.now()
             results = self.gateway.take_results(now)
+            if results.wake_after is not None:
+                self.timers.at(now + results.wake_after, self.woken)
             for line in results.logs:
                 self.log.say(line)
             for number, server, time_out in results.sends:
-                self._begin(number, server, time_out, now)
+                self._do(self._begin, (number, server, time_out, now))
             for number, wait in results.bounced:
-                self._answer(number, [b"-BUSY %d\r\n" % max(1, int(wait * 1000))] if wait > 0 else BUSY)
+                busy = [b"-BUSY %d\r\n" % max(1, int(wait * 1000))] if wait > 0 else BUSY
+                self._do(self._answer, (number, busy))
             for number in results.given_up:
-                self._answer(number, GIVEN_UP)
-            for number, execution in results.withdrawn:
-                self._call_off(number, execution)
-            for name, amount, keep in results.adds:
-                if self.counter is None or not self.counter.add(name, amount, keep):
-                    self.soon.append((self.counted, (name, "unreachable", 0.0, 0.0)))
+                self._do(self._answer, (number, GIVEN_UP))
+            for row in results.withdrawn:
+                self._do(self._call_off, row)
+            for add in results.adds:
+                self._do(self._add, add)
             for note in results.notes:
                 if self.peers is not None:
                     self.peers.tell(note)
-            if results.wake_after is not None:
-                self.timers.at(now + results.wake_after, self.woken)
             if not self.soon:
                 break
             while self.soon:
@@ -123,7 +124,7 @@
         taken.gone = True
         if taken.handle is not None and taken.answer is None:
             taken.handle.left(self.clock.now())
-        self._forget(taken)
+        self.soon.append((self._forget, (taken,)))  # a send of it may be wanted already, and has to end, too
 
     def ended(self, execution: Execution, answer: Answer) -> None:
         """An execution has ended; its first good answer is the submission's."""
@@ -173,11 +174,15 @@
         execution = Execution(taken, taken.sent, now, until)
         taken.sent += 1
         taken.out[execution.number] = execution
-        if self.fleet.send(server, execution):
+        if not taken.gone and self.fleet.send(server, execution):
             self.timers.at(until, self.expired, execution)
         else:
             self.soon.append((self.ended, (execution, Answer("unreachable"))))
 
+    def _add(self, name: int, amount: float, keep: float) -> None:
+        if self.counter is None or not self.counter.add(name, amount, keep):
+            self.soon.append((self.counted, (name, "unreachable", 0.0, 0.0)))
+
     def _call_off(self, number: int, execution_number: int) -> None:
         taken = self.taken.get(number)
         execution = taken.out.get(execution_number) if taken else None
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -7,6 +7,7 @@
 import time
 from types import SimpleNamespace
 from typing import Any
+from unittest.mock import Mock
 
 import pytest
 from helpers import array, said, told
@@ -21,6 +22,7 @@
     read_deployment,
 )
 from merlintally.net.counter import PART, Call, Counter, outcome_of
+from merlintally.net.keeper import Keeper
 from merlintally.net.log import Log
 from merlintally.net.phases import Phase, Phases
 from merlintally.net.resp import array_at
@@ -135,6 +137,35 @@
         outcome_of(answer)
 
 
+def test_a_client_that_goes_away_before_its_send_is_done_leaves_nothing_behind() -> None:
+    """Guards against sends that the decisions hold to be out for good, and a wake-up lost with them: both
+    calls come through the queue before what is wanted of the first is done."""
+    log = io.StringIO()
+    keeper = Keeper(told(), Clock(), Log("n", 9.0, log))
+    keeper.timers = keeper.fleet = others = Mock()
+    rows = [{"name": "s", "status": "SERVING", "address": "127.0.0.1:1"}]
+    keeper.listed(page({"index": 1, "endpoints": rows})[2], True)
+    one = taken(said())
+    one.ends = keeper.clock.now() + 1.0
+    keeper.take(one)
+    assert keeper.gateway.out == 1
+    keeper.left(one)
+    keeper.carry_out()
+    assert (keeper.gateway.out, keeper.taken, keeper.ids, log.getvalue()) == (0, {}, set(), "")
+    assert others.at.called and not others.send.called
+
+
+def test_a_row_that_fails_takes_no_other_with_it() -> None:
+    """Guards against bounces, calls and the wake-up lost behind it."""
+    log = io.StringIO()
+    keeper = Keeper(told(), Clock(), Log("n", 9.0, log))
+    keeper.timers = keeper.counter = others = Mock()
+    keeper.gateway.results.sends.append((7, "s", 0.0))
+    keeper.gateway.results.adds.append((5, 1.0, 60.0))
+    keeper.carry_out()
+    assert others.add.call_args.args == (5, 1.0, 60.0) and "failed" in log.getvalue()
+
+
 @pytest.mark.parametrize("part", [b"", b"o", b"ok", b"ok ", b"ok -1.5e+1", b"ok 3\r", b"busy\r", b"e"])
 def test_part_of_an_answer_of_the_counter_is_waited_for(part: bytes) -> None:
     assert PART.fullmatch(part)
