Peer notes tell draws to all gateways where that costs less than a call

Measured before: a counter of 130 to 180 calls a second answers less than half a call a try; with calls no longer lost the use beyond quotas stayed, so it is news that are missing, not answers. Excluded: late refusals (52 of 6,300), ceilings (326). While all others are heard the store decides without asking; the counter is for customers new here, and whenever one that may be there is not heard.

--- a/merlintally/choice.py
+++ b/merlintally/choice.py
@@ -1,11 +1,9 @@
 """Every decision of a gateway that holds customers to quotas: global tag throttling, with few exceptions.
 
-How to call it: make one `Gateway(facts, seed, now)` for each edge node. `gateway.take(...)` returns a handle,
-a `Submission`; what happens to it later is a call on that handle: `ended`, `begun`, `left`. The server list,
-counter answers, peer notes and wake-ups are calls on the gateway: `roster`, `counted`, `noted`, `wake`. All
-take `now` in seconds. What is to be done comes from `gateway.take_results(now)`. The types that go in and out
-are in merlintally/interface.py; docs/design.md tells what is kept of the design and when exceptions act.
-"""
+How to call it: make one `Gateway(facts, seed, now)` for each edge node. `gateway.take(...)` gives a handle,
+a `Submission`; what happens to it later is a call on it: `ended`, `begun`, `left`. The server list, counter
+answers, peer notes and wake-ups are calls on the gateway: `roster`, `counted`, `noted`, `wake`. What is to be
+done comes from `take_results(now)`. The types are in interface.py; what was kept of the design, in docs/."""
 
 from __future__ import annotations
 
@@ -18,35 +16,28 @@
 from merlintally.interface import (
     CounterOutcome, LaneFacts, LoadReport, Outcome, PlanFacts, Results, ServerFacts, StartFacts)
 from merlintally.naming import count_name, phase
+from merlintally.notes import ROW, told, unpack
 from merlintally.ring import Ring, SampleRing
 
-FOLD, FOLDS = 0.4, 5  # seconds a bucket of the smoothers, and how many they cover
-FIT = 0.25  # seconds between the sums over all customers and servers
+FOLD, FOLDS, FIT = 0.4, 5, 0.25  # seconds a bucket of the smoothers, how many, and seconds between all sums
 SOFT = 2.0  # total quota over reserved on plans that earn more beyond the quota than it costs
 TELL = 0.2  # use that all gateways together may leave untold, as a part of the modelled store
-HEAR = 0.3  # seconds for which the counter's answer is news
-STALE = 2.0  # seconds unseen after which a customer is not fitted; age from which news are no debt
+HEAR, STALE = 0.3, 2.0  # seconds for which the counter's answer is news; unseen, until one is not fitted
 KEEP = 60.0  # seconds of an epoch: a count is kept by name for as long
 RIGHT = 1.0  # bursts that a count may lie below nothing drawn until it is put right
-PACE = 300.0  # counter calls a second of all gateways together, at the start
+PACE, CROWDED = 300.0, 0.5  # counter calls a second of all gateways at first; time-outs from which it is slow
 PACES = (0.7, 0.9, 1.1, 0.3)  # factors when a call fails, is slow, is quick; part of it regained a second
-CROWDED = 0.5  # time-outs after which an answer of the counter is slow
-SATURATED = 1.6  # answer times over their floor from which a server counts as near saturation
-BAD = 8.0  # answer times over their floor that no longer speak of all servers
-EASY = 1.35  # below this a server that is kept full gets more places
-FIRST_PLACES = 3.0  # at each server for all gateways together
+NOTES, SILENT = (0.05, 60.0), (1.0, 10.0)  # seconds between, most heard a second; until one is unheard, gone
+EASY, SATURATED, BAD = 1.35, 1.6, 8.0  # answer times over the floor: room for more, saturated, not of all
+FIRST_PLACES, LEAST_PLACES = 3.0, 0.25  # at each server for all gateways together; the part always left
 FEW, FAMILIAR = 4, 5.0  # servers compared at the least; seconds for which an answer makes one known
-HEADROOM = 1.0  # square roots of a gateway's places by which its executions out may pass them
-GROWTH = 0.2  # of the first places, gained with an answer that came easily while work waits
-LEAST_PLACES = 0.25  # of its first places: below one place only some servers get a piece at a time
+HEADROOM, GROWTH = 1.0, 0.2  # roots of the places to pass them by; of the first, gained with an easy answer
 JUDGED = 0.8  # the quantile of answer times by which servers are compared
 CREDIT = (2.0, 0.12)  # further executions a server may get: at most, and earned with each good answer
 PATIENCE = 15.0  # mean answer times, divided by how slow the server is found, until an execution is timed out
 COLD_SAFETY = 0.5  # part of the stated budget of a cold server that is used
-LOOKED_AT = 16  # pieces passed over in a line at the most
-MARGIN = 0.03  # seconds before a hard limit at which nothing new is begun
+LOOKED_AT, MARGIN = 16, 0.03  # pieces passed over in a line; seconds before a hard limit without a new one
 TICK = (0.03, 0.1, 0.5)  # seconds between wake-ups while anything waits, while submissions are open, and else
-NEVER_RAN = ("full", "unreachable", "moot")
 NO_QUOTA = PlanFacts("", 0, 0, 0, 0, 0, 0, 0, 0, 0)  # of plans never stated: nothing is let in
 
 
@@ -56,8 +47,7 @@
     def __init__(self, facts: LaneFacts) -> None:
         self.quoted_time, self.gain, self.late_gain = facts.quoted_time, facts.gain, facts.late_gain
         self.effect, self.group, self.remembered = facts.effect, facts.discard_group, facts.remembered
-        self.mean = self.floor = facts.quoted_time / 6
-        self.answers = 0
+        self.mean, self.floor, self.answers = facts.quoted_time / 6, facts.quoted_time / 6, 0
 
     def learn(self, elapsed: float) -> None:
         self.answers += 1  # the floor follows slowly: a slow spell must not become the floor
@@ -72,8 +62,9 @@
         self.key, self.plan, self.gateways = key, plan, gateways
         self.phase, self.soft = phase(key) * KEEP, plan.beyond_gain > plan.beyond_cost
         self.store = self.spare = plan.burst  # the second as last heard, above the burst where little is used
-        self.limiting, self.others, self.untold, self.extra, self.failed = float("inf"), 0.0, 0.0, 0.0, 0.0
-        self.heard, self.at, self.seen = -KEEP, now, now
+        self.limiting, self.others, self.untold, self.extra = float("inf"), 0.0, 0.0, 0.0
+        self.heard, self.at, self.seen, self.sure = -KEEP, now, now, False
+        self.mark, self.drawn = int(self.phase / KEEP * 2**32), 0.0  # in notes, and not yet told in one
         self.asked: float | None = None  # amount of the add that is on its way
         self.out, self.name, self.total = 0, 0, 0.0  # the count last added to, what it was then; 0: unknown
         self.waiting: list[Submission] = []  # for the answer that is on its way
@@ -93,7 +84,8 @@
 
     def advance(self, now: float) -> None:
         passed, self.at = max(0.0, now - self.at), now
-        self.store = min(self.plan.burst, self.store + (self.plan.rate - self.others) * passed)
+        unseen = 0.0 if self.sure else self.others
+        self.store = min(self.plan.burst, self.store + (self.plan.rate - unseen) * passed)
         cost, spare = self.average_cost, max(0.0, self.target - self.plan.rate) / self.gateways
         self.granted = min(self.granted + self.common * passed, max(2 * cost, self.common * 0.5))
         self.extra = min(self.extra + spare * passed, max(2 * cost, spare))
@@ -103,14 +95,14 @@
         return self.part_rate > 0 and self.part < units
 
     def inside(self, units: float, now: float) -> bool:
-        """Whether the quota has room: the store holds more than others may have drawn unseen, or news are
-        old and the common rate has units to grant; it alone decides where nothing was heard."""
+        """Whether there is room: in the store beyond what others may draw unseen, or by the common rate."""
         if self.plan.rate <= 0:
             return self.plan.open_limit > 0
         if now - self.heard >= KEEP and self.gateways > 1:
             return self.granted >= min(units, self.average_cost)
-        unseen = 0.0 if self.granted >= units else self.others * min(now - self.heard, HEAR)
-        return self.store >= units + unseen or (self.granted >= units and now - self.heard > HEAR)
+        age = NOTES[0] if self.sure else now - self.heard
+        unseen = 0.0 if self.granted >= units else self.others * min(age, HEAR)
+        return self.store >= units + unseen or (self.granted >= units and age > HEAR)
 
     def draw(self, units: float, now: float) -> None:
         self.seen, self.granted = now, max(0.0, self.granted - units)
@@ -120,7 +112,13 @@
 
     def settle(self, difference: float) -> None:
         self.store, self.spare = min(self.plan.burst, self.store - difference), self.spare - difference
-        self.untold += difference
+        self.untold, self.drawn = self.untold + difference, self.drawn + difference
+
+    def hear(self, drawn: float, now: float) -> None:
+        """Another gateway's draws. What the store did not hold was beyond the quota, and took nothing."""
+        self.advance(now)
+        drawn = min(drawn, max(0.0, self.store))
+        self.store, self.spare = min(self.plan.burst, self.store - drawn), self.spare - drawn
 
     def fit(self, now: float) -> None:
         """Move the common rate until summed use meets the target; a calm gateway keeps its even part."""
@@ -137,7 +135,7 @@
         """Whether what was last heard decides: it is news, or others could not have changed that since."""
         age, could = now - self.heard, self.plan.rate * (now - self.heard)
         clear = age < KEEP and (self.spare - units >= could or self.spare + could < units)
-        return clear or age < HEAR or self.gateways < 2 or self.plan.rate <= 0
+        return clear or age < (KEEP if self.sure else HEAR) or self.gateways < 2 or self.plan.rate <= 0
 
     def epoch(self, now: float) -> tuple[int, float]:
         """The name of the count that holds now, and for how long it has; each epoch has one of its own."""
@@ -145,19 +143,16 @@
         return count_name(self.key, int(number)), passed
 
     def news(self, total: float, added: float, now: float) -> None:
-        """Take the count after `added`; less what flowed back in this epoch the store lacks it. Guards
-        against one that began anew (epoch over, back empty): the first to add puts it at what it knows."""
+        """Take the count after `added`: the store lacks it, less what flowed back in this epoch."""
         self.advance(now)
         since, burst, used = now - self.heard, self.plan.burst, total - self.total - added
         level, self.heard = total - self.plan.rate * self.epoch(now)[1], now
         lacking = burst - self.store if since < STALE else min(added, burst - self.store)  # old: no debt
-        late, self.failed = min(self.failed, added), 0.0  # told late, since a call for it failed
-        if added > 0 and total <= added * 1.000001:
+        if added > 0 and total <= added * 1.000001:  # guards against one begun anew: put at what is known
             self.untold, self.total = self.untold + lacking - level, 0.0
             return
-        if late > 0 and since >= STALE:  # What passed beyond the quota took nothing from the store, and is no
-            emptied = self.total and not 0 <= used < 0.75 * self.plan.rate * since  # debt, nor is what flowed
-            self.untold -= max(0.0, min(late, level - burst), added - lacking if emptied else 0.0)  # back
+        if self.sure and since < KEEP:  # notes tell more than counts, which others may not have told yet
+            return
         if self.total and used >= 0:
             self.others += (min(self.plan.rate, used / max(since, 0.02)) - self.others) * min(1.0, since)
         self.spare, self.total = burst - level - self.untold, total
@@ -181,8 +176,7 @@
     def renew(self, facts: ServerFacts) -> None:
         self.presence, self.started = facts.presence, facts.started
         self.places, self.ratio, self.slow, self.credit = self.first_places, 1.0, 1.0, CREDIT[0]
-        self.failing = self.resume = self.waiting = 0.0
-        self.waiting_at = self.answered_at = -1.0
+        self.failing, self.resume, self.waiting, self.waiting_at, self.answered_at = 0.0, 0.0, 0.0, -1.0, -1.0
         self.slot, self.slot_sent, self.slot_budget = -1, 0, 0  # while cold
         self.samples, self.cost = SampleRing(1.0, 6), dict[str, float]()
 
@@ -200,8 +194,7 @@
 
     def answered(self, now: float, lane: Lane, outcome: Outcome, elapsed: float,
                  report: LoadReport | None, growth: float, strain: float | None = None) -> None:
-        """Guards against fast failures that attract work, and servers dead but listed: the larger the failing
-        share, the longer a failure keeps work away."""
+        """Guards against fast failures that attract work, and dead servers: the more fail, the more rest."""
         if report and "waiting" in report:
             self.waiting, self.waiting_at = report["waiting"], now
         relative = elapsed / lane.floor
@@ -255,7 +248,7 @@
         growth = GROWTH * server.first_places / math.sqrt(1 - scarce) if waits else 0.0
         server.answered(now, self.lane, outcome, elapsed, report, growth, gateway.strain if scarce else None)
         gateway.good.add(now, float(outcome == "ok"))
-        if outcome in NEVER_RAN:
+        if outcome in ("full", "unreachable", "moot"):  # it has surely never run
             self.risky.pop(number, None)
         if actual and self.drawn:
             self.customer.settle(actual - self.units)
@@ -265,8 +258,7 @@
             gateway.again(now, self)
         gateway.pull(now)
 
-    def begun(self, now: float, number: int) -> None:
-        self.streaming = True
+    def begun(self, now: float, number: int) -> None: self.streaming = True
 
     def left(self, now: float) -> None:
         if not self.closed:
@@ -291,18 +283,19 @@
         self.facts, self.random = facts, random.Random(seed)
         self.lanes = {row.name: Lane(row) for row in facts.lanes}
         self.plans = {plan.name: plan for plan in facts.plans}
-        self.customers: dict[str, Customer] = {}
-        self.asking: dict[int, Customer] = {}  # by the count that they wait for
-        self.servers: dict[str, AppServer] = {}
+        self.customers, self.marks = dict[str, Customer](), dict[int, Customer]()  # by key; by mark in notes
+        self.servers, self.open = dict[str, AppServer](), dict[int, Submission]()
+        self.asking = dict[int, Customer]()  # by the count that they wait for
         self.last = Lane(LaneFacts("", 1, 1, 0, 0, "one-shot", "cell", 0))  # unknown lanes; beyond the quota
         order = [*sorted(self.lanes.values(), key=lambda lane: -lane.gain), self.last]
-        self.lines: dict[Lane, deque[Submission]] = {lane: deque() for lane in order}  # served in this order
-        self.open: dict[int, Submission] = {}
-        self.pulls, self.good = Ring(0.25, 6), Ring(1.0, 10)
+        self.lines = {lane: deque[Submission]() for lane in order}  # served in this order
+        self.pulls, self.good, self.alarm, self.results = Ring(0.25, 6), Ring(1.0, 10), 0.0, Results()
         self.pace, self.calls, self.crowded = PACE / facts.gateways, 1.0, CROWDED * facts.count_time_out
         self.answers, self.out, self.strain, self.worth, self.worth_at = 0, 0, 1.0, 1.0, -1.0
         self.started = self.paced_at = self.fitted = self.swept = now
-        self.alarm, self.results = 0.0, Results()
+        others, self.peers = facts.gateways - 1, dict[int, float]()  # when each was last heard
+        self.noting = facts.may_note and 0 < facts.note_price * others * ROW.size / 256 < facts.count_price
+        self.note_every, self.noted_at = max(NOTES[0], others / NOTES[1]), now
 
     def take(self, now: float, submission: int, lane_name: str, key: str, plan_name: str, time_left: float,
              units: float, gateways: int) -> Submission:
@@ -311,6 +304,8 @@
         if (customer := self.customers.get(key)) is None:
             plan, gateways = self.plans.get(plan_name, NO_QUOTA), max(1, gateways or self.facts.gateways)
             customer = self.customers[key] = Customer(key, plan, gateways, now, now - self.started)
+            self.marks[customer.mark] = customer
+        customer.sure = self._hears_all(now)
         handle = Submission(self, submission, lane, customer, units, now, time_left)
         self.open[submission] = handle
         if time_left <= MARGIN:
@@ -343,8 +338,7 @@
             self.pace *= PACES[1] if elapsed > self.crowded else PACES[2]
         else:  # an add without an answer may have counted and is not told again
             self.pace *= PACES[0] if outcome != "timed_out" or elapsed > self.crowded else 1
-            customer.failed = added if outcome != "timed_out" else 0.0
-            customer.untold += customer.failed
+            customer.untold += added if outcome != "timed_out" else 0.0
         waiting, customer.waiting = customer.waiting, []
         for handle in waiting:
             if not handle.closed:
@@ -353,7 +347,17 @@
         self._tell(now, customer, outcome == "ok" and wrong)
         self.pull(now)
 
-    def noted(self, now: float, peer: int, payload: bytes) -> None: ...
+    def noted(self, now: float, peer: int, payload: bytes) -> None:
+        """Another gateway tells what it has drawn of its customers."""
+        self.peers[peer] = now
+        for customer, drawn in ((self.marks.get(mark), drawn) for mark, drawn in unpack(payload)):
+            if customer:
+                customer.hear(drawn, now)
+
+    def _hears_all(self, now: float) -> bool:
+        """Whether each of the others that is there has told something lately: little is drawn unseen."""
+        ages = [now - at for at in self.peers.values() if now - at < SILENT[1]]
+        return self.noting and 0 <= max(ages, default=-1.0) < SILENT[0]
 
     def wake(self, now: float) -> None:
         if now < self.alarm - 0.0005:
@@ -369,6 +373,7 @@
         if now - self.swept >= KEEP / 8:
             self.swept = now
             self.customers = {key: one for key, one in self.customers.items() if not one.idle(now)}
+            self.marks = {one.mark: one for one in self.customers.values()}
         self._expire(now)
         self.pull(now)
         for customer in self.customers.values() if self._may_call(now, True) else ():
@@ -377,6 +382,10 @@
 
     def take_results(self, now: float) -> Results:
         """What is to be done since the last time; always leaves a wake-up set, soon while something waits."""
+        due = self.noting and now - self.noted_at >= self.note_every
+        if due and ((note := told(self.customers.values())) or now - self.noted_at > SILENT[0] / 2):
+            self.results.notes.append(note)  # where empty it tells that this gateway is here
+            self.noted_at = now
         soon = any(self.lines.values()) or self.asking
         after = TICK[0] if soon else TICK[1] if self.open else TICK[2]
         if not self.alarm or now + after < self.alarm - 0.0005:
@@ -426,14 +435,13 @@
 
     def _tell(self, now: float, customer: Customer, urgent: bool = False) -> None:
         free = self.facts.may_count and customer.asked is None and customer.gateways > 1
-        least = TELL * max(customer.store, customer.average_cost) / customer.gateways
-        matters = abs(customer.untold) >= min(least, customer.average_cost / 2)
-        if free and matters and (urgent or self._may_call(now, True)):
+        cost = customer.average_cost
+        least = min(TELL * max(customer.store, cost) / customer.gateways, cost / 2)
+        if free and abs(customer.untold) >= least and (urgent or self._may_call(now, True)):
             self._call(now, customer)
 
     def _may_call(self, now: float, telling: bool = False) -> bool:
-        """The pace follows the answers, and so does how many may be out: at a slow counter they pile up, all
-        too late. Telling leaves one for a submission that has to ask."""
+        """Pace and calls out follow the answers: where slow, they pile up. Telling leaves one to ask."""
         passed, self.paced_at = now - self.paced_at, now
         if self.pace < (part := PACE / self.facts.gateways):  # failures must not bring it to nothing
             self.pace = min(part, self.pace + PACES[3] * part * passed)
@@ -491,10 +499,9 @@
         return max(0.0, 1 - max(FIRST_PLACES / self.facts.gateways, each))
 
     def allowed(self, now: float) -> float:
-        """How many executions may be out. Scarce places get a headroom, without which a gateway could send on
-        only one of what comes together, and give way to the strain of all servers."""
+        """How many executions may be out: scarce places get a headroom for chance, and give way to strain."""
         places, scarce = self.places(now), self.scarcity(now)
-        strained: float = max(1.0, self.strain / SATURATED) ** (2 * scarce)
+        strained = float(max(1.0, self.strain / SATURATED) ** (2 * scarce))
         return max(1.0, (places + HEADROOM * scarce * math.sqrt(places)) / strained)
 
     def pull(self, now: float) -> None:
@@ -509,21 +516,19 @@
                 if handle.closed or handle.out:
                     continue
                 first, customer = not handle.count, handle.customer
+                blocked = first and not customer.room_out(now, handle.lane.mean)
                 if now >= handle.useful or (first and customer.short_of_ceiling(handle.units)):
                     self.finish(now, handle)
-                elif first and not customer.room_out(now, handle.lane.mean):
+                elif blocked or not (server := self._send_best(now, handle, free)):
                     kept.append(handle)
-                elif server := self._send_best(now, handle, free):
+                else:
                     room -= 1
                     if not server.has_place(now):
                         free.remove(server)
-                else:
-                    kept.append(handle)
             queue.extendleft(reversed(kept))
 
     def _send_best(self, now: float, handle: Submission, free: list[AppServer]) -> AppServer | None:
-        """Send to the server expected to answer first. With fewer places than servers those known from
-        recent answers and a few others are compared: work leaves those that stall or age, without herding."""
+        """Send to the one expected to answer first; with few places, of those known and a few others."""
         best, lowest, some = None, float("inf"), max(FEW, int(self.places(now)))
         tried = [server for server, _ in handle.risky.values()]
         if not handle.count and len(free) > some:
@@ -559,8 +564,7 @@
         return "ceiling" if not handle.count and handle.customer.short_of_ceiling(handle.units) else None
 
     def _cold_room(self, now: float, server: AppServer) -> bool:
-        """Whether a cold server's budget has room, as a part of what a server answers for this gateway: so
-        all gateways together keep it. Below one piece a window it is the chance of one; nothing builds up."""
+        """Whether a cold server's budget has room: a part of what one answers here; below one, by chance."""
         facts, age = self.facts, max(0.0, now - server.started)
         if server.started <= 0 or age >= facts.warm_within:
             return True
@@ -587,8 +591,7 @@
         self.results.sends.append((handle.id, server.name, self._patience(now, handle, server)))
 
     def _patience(self, now: float, handle: Submission, server: AppServer) -> float:
-        """The time-out of an execution while another could still be in time; 0: none. Guards against servers
-        that stall or never answer. Harm: work done twice where all is slow; credit bounds it."""
+        """The time-out while another could be in time, or 0. Guards against stalls; credit bounds harm."""
         mean, in_time = handle.lane.mean, min(handle.taken + handle.lane.quoted_time, handle.ends)
         wait = PATIENCE * mean / server.slow
         another = handle.lane.effect != "one-shot" and handle.count < self.facts.most_executions
@@ -601,8 +604,7 @@
             self.finish(now, handle)
 
     def _judge(self, now: float) -> None:
-        """By a high quantile of answer times against the fellows', drawn to it with few samples. What is out
-        for long is a sample already, so one that never answers is seen."""
+        """By a high quantile of answer times beside the fellows'; what is out for long is a sample, too."""
         quantiles = {}
         for server in self.servers.values():
             ages = [(now - sent) / lane.floor for sent, lane in server.out.values() if now - sent > lane.mean]
