A connection that has just answered is not used again at once

The link used last was used first, within the same turn of the loop (Fleet.send), so what was still on its way would be taken for the next submission's answer. Change: a link rests for 10 ms before it is used again; another idle one or a new one goes first.

--- a/merlintally/net/configuration.py
+++ b/merlintally/net/configuration.py
@@ -38,6 +38,7 @@
     kept_back: int = 32  # descriptors for all that is neither a client nor an app server
     client_share: float = 0.333  # of all descriptors, for clients
     idle_share: float = 0.4  # of the app servers' stated idle time, after which a connection is retired
+    rest_s: float = 0.01  # after an answer, until the connection of an app server is used again
     counter_silence_s: float = 1.0  # without an answer that is due, after which its connection is given up
     counter_calls: int = 1024  # calls to the counter that are out at once
     watch_s: float = 10.0  # for which a watch on discovery may wait
--- a/merlintally/net/servers.py
+++ b/merlintally/net/servers.py
@@ -195,6 +195,7 @@
         self.keeper, self.clock, self.log, self.group = keeper, clock, log, group
         self.descriptors, self.held, self.reported = descriptors, held, deployment.reported
         self.connect_time_out = deployment.connect_time_out
+        self.rest_s = deployment.bounds.rest_s
         self.retire_after = deployment.idle_close * deployment.bounds.idle_share
         self.servers: dict[str, Server] = {}
 
@@ -232,8 +233,7 @@
         server = self.servers.get(name)
         if server is None or server.presence != "on":
             return False
-        while server.idle:
-            link = server.idle.pop()
+        while (link := self._rested(server)) is not None:
             if not link.dead and link.stream.alive():  # guards against one that its server has closed
                 link.begin(execution)
                 return True
@@ -251,6 +251,15 @@
         self.group.start_soon(link.run)
         return True
 
+    def _rested(self, server: Server) -> Link | None:
+        """The last used of those idle, but for any that has only just answered. Guards against noise or a copy
+        right behind an answer, which would be taken for the next one, and against a close that crosses it."""
+        before = self.clock.now() - self.rest_s
+        for at in range(len(server.idle) - 1, -1, -1):
+            if server.idle[at].idle_since <= before:
+                return server.idle.pop(at)
+        return None
+
     def call_off(self, execution: Execution) -> None:
         """Stop waiting: the connection ends, so that nothing else is out on it."""
         link = execution.link
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -248,6 +248,7 @@
     async def act(scene: Scene) -> None:
         for _ in range(5):
             assert await scene.ask(said()) == b"$2\r\nhi\r\n"
+            await anyio.sleep(0.02)
         before = at.ends
         await anyio.sleep(2.3)
         assert (before, at.ends, len(at.heard)) == (0, 1, 5)
@@ -267,6 +268,19 @@
     assert len(at.heard) == 3
 
 
+def test_a_connection_that_has_just_answered_is_not_used_at_once() -> None:
+    """Guards against what its server still sends: it would be taken for the next one's answer."""
+    at = server()
+
+    async def act(scene: Scene) -> None:
+        assert await scene.ask(said()) == b"$2\r\nhi\r\n"
+        assert await scene.ask(said()) == b"$2\r\nhi\r\n" and at.accepted == 2
+        await anyio.sleep(0.25)
+        assert await scene.ask(said()) == b"$2\r\nhi\r\n" and at.accepted == 2
+
+    play(told(known=known(at), bounds=Bounds(rest_s=0.2)), act, at)
+
+
 def test_no_server_at_the_address_is_surely_not_run() -> None:
     gone = server()
     gone.sock.close()
