--- a/merlintally/net/servers.py
+++ b/merlintally/net/servers.py
@@ -252,8 +252,8 @@
         return True
 
     def _rested(self, server: Server) -> Link | None:
-        """The last used of those idle, but for any that has only just answered. Guards against noise or a copy
-        right behind an answer, which would be taken for the next one, and against a close that crosses it."""
+        """The last used of those idle, but for any that has only just answered. Guards against noise or one
+        more copy right behind an answer, taken for the next one, and against a close that crosses it."""
         before = self.clock.now() - self.rest_s
         for at in range(len(server.idle) - 1, -1, -1):
             if server.idle[at].idle_since <= before:
