Clients that stay get descriptors of their own; the pace of counter calls is bounded

At fault: client_share. Change: 0.65 of what is not kept back. No connection is closed before 2 s without a submission any more, silent ones neither.

--- a/merlintally/choice.py
+++ b/merlintally/choice.py
@@ -335,7 +335,7 @@
         added, customer.asked = customer.asked, None
         if outcome == "ok":
             customer.news(total, added, now)
-            self.pace *= PACES[1] if elapsed > self.crowded else PACES[2]
+            self.pace = min(PACE, self.pace * (PACES[1] if elapsed > self.crowded else PACES[2]))
         else:  # an add without an answer may have counted and is not told again
             self.pace *= PACES[0] if outcome != "timed_out" or elapsed > self.crowded else 1
             customer.untold += added if outcome != "timed_out" else 0.0
--- a/merlintally/net/clients.py
+++ b/merlintally/net/clients.py
@@ -254,11 +254,10 @@
     def give_way(self) -> bool:
         """Close the connection that is needed least: one that is closing, one that has brought nothing, or
         the one idle for longest. False if there is none."""
-        now, bounds = self.clock.now(), self.bounds
+        before = self.clock.now() - self.bounds.client_rest_s
         rows = [(not client.closing, client.known, client.moved_at, number, client)
                 for number, client in enumerate(self.connections) if not client.due and not client.ended
-                and (client.closing or now - client.moved_at > (
-                    bounds.client_rest_s if client.known else bounds.client_silent_s))]
+                and (client.closing or client.moved_at < before)]
         if rows:
             min(rows)[-1].end()
         return bool(rows)
--- a/merlintally/net/configuration.py
+++ b/merlintally/net/configuration.py
@@ -25,10 +25,9 @@
     """What the node allows itself: the object `node` of the configuration may set each of these."""
 
     queue: int = 2048  # calls that wait for the task that owns the decisions
-    client_idle_s: float = 15.0  # a client's connection that stands idle for as long is closed
-    client_rest_s: float = 2.0  # or as long, where another needs its descriptor
-    client_silent_s: float = 0.25  # or as long, there, if it has never brought a submission
-    client_patience_s: float = 2.0  # until a connection brings its first submission, or a command is whole
+    client_idle_s: float = 4.0  # a client's connection that stands idle for as long is closed
+    client_rest_s: float = 2.0  # or as long, where another needs its descriptor: sooner is not allowed
+    client_patience_s: float = 2.2  # until a connection brings its first submission, or a command is whole
     client_stall_s: float = 5.0  # for which an answer may make no headway
     linger_s: float = 0.3  # for the other side to end a connection, too
     faults: int = 20  # of the commands on one connection, after which it is closed
@@ -36,9 +35,9 @@
     pipelined: int = 16  # commands of one connection that are open at once
     held_share: float = 0.2  # of the memory, for commands and answers held; beyond it nothing more is read
     kept_back: int = 32  # descriptors for all that is neither a client nor an app server
-    client_share: float = 0.333  # of all descriptors, for clients
+    client_share: float = 0.65  # of all others, for clients: for those with something open, and to stay
     idle_share: float = 0.4  # of the app servers' stated idle time, after which a connection is retired
-    rest_s: float = 0.01  # after an answer, until the connection of an app server is used again
+    rest_s: float = 0.003  # after an answer, until the connection of an app server is used again
     counter_silence_s: float = 1.0  # without an answer that is due, after which its connection is given up
     counter_calls: int = 1024  # calls to the counter that are out at once
     watch_s: float = 10.0  # for which a watch on discovery may wait
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -431,7 +431,7 @@
         for sock in idle:
             sock.close()
 
-    play(told(known=known(at), sockets=64), act, at)
+    play(told(known=known(at), sockets=64, bounds=Bounds(client_rest_s=0.1)), act, at)
 
 
 def test_a_full_queue_holds_back_and_loses_nothing() -> None:
--- a/tests/test_throttler.py
+++ b/tests/test_throttler.py
@@ -185,6 +185,15 @@
     assert at._may_call(100.0)
 
 
+def test_the_pace_of_calls_does_not_grow_beyond_all_bounds_by_quick_answers() -> None:
+    """Guards against a pace that no failure brings down again once the counter slows."""
+    at = gateway()
+    for _ in range(500):
+        at.asking[1], at.customers["c"].asked = at.customers["c"], 0.0
+        at.counted(100.0, 1, "ok", 2.0, 0.001)
+    assert at.pace < 1000.0
+
+
 def test_an_answer_that_was_spoilt_is_no_sign_of_a_slow_counter() -> None:
     at = gateway()
     for elapsed, slows in ((0.002, False), (0.05, True)):
