Servers are judged by what they fail beyond their fellows

Checked with probes: two thirds of the refusals were "late" while the servers stood idle (1 to 5 executions out, places 20); every server's failing share was 0.3 to 0.6 and all were paused by turns. What broke: 415 executions of some 2,500, nearly all within 10 ms, 3% to 5% on connections idle for under 50 ms, a quarter of those idle for 0.2 to 0.5 s: connections cut on the way, at every server alike. Excluded: slow servers (ratios 0.8 to 2), the counter (pace at its bound), descriptors (70). At fault: AppServer.answered and worth, which took each server's failures for its own. Change: the lower quarter of all failing shares is what is usual; only what is beyond it shrinks a server or has it rest.

--- a/merlintally/choice.py
+++ b/merlintally/choice.py
@@ -1,9 +1,8 @@
 """Every decision of a gateway that holds customers to quotas: global tag throttling, with few exceptions.
 
 How to call it: make one `Gateway(facts, seed, now)` for each edge node. `gateway.take(...)` gives a handle,
-a `Submission`; what happens to it later is a call on it: `ended`, `begun`, `left`. The server list, counter
-answers, peer notes and wake-ups are calls on the gateway: `roster`, `counted`, `noted`, `wake`. What is to be
-done comes from `take_results(now)`. The types are in interface.py; what was kept of the design, in docs/."""
+whose calls `ended`, `begun`, `left` tell what happens to it. All else is told by `roster`, `counted`, `noted`,
+`wake`; what is to be done comes from `take_results(now)`. Types: interface.py. The design: docs/design.md."""
 
 from __future__ import annotations
 
@@ -20,8 +19,7 @@
 from merlintally.ring import Ring, SampleRing
 
 FOLD, FOLDS, FIT = 0.4, 5, 0.25  # seconds a bucket of the smoothers, how many, and seconds between all sums
-SOFT = 2.0  # total quota over reserved on plans that earn more beyond the quota than it costs
-TELL = 0.2  # use that all gateways together may leave untold, as a part of the modelled store
+SOFT, TELL = 2.0, 0.2  # total quota over reserved where more earns; part of the store all may leave untold
 HEAR, STALE = 0.3, 2.0  # seconds for which the counter's answer is news; unseen, until one is not fitted
 KEEP = 60.0  # seconds of an epoch: a count is kept by name for as long
 RIGHT = 1.0  # bursts that a count may lie below nothing drawn until it is put right
@@ -176,12 +174,13 @@
     def renew(self, facts: ServerFacts) -> None:
         self.presence, self.started = facts.presence, facts.started
         self.places, self.ratio, self.slow, self.credit = self.first_places, 1.0, 1.0, CREDIT[0]
-        self.failing, self.resume, self.waiting, self.waiting_at, self.answered_at = 0.0, 0.0, 0.0, -1.0, -1.0
-        self.slot, self.slot_sent, self.slot_budget = -1, 0, 0  # while cold
+        self.failing = self.usual = self.resume = self.waiting = 0.0  # usual: what most fellows fail, too
+        self.slot, self.slot_sent, self.slot_budget, self.waiting_at, self.answered_at = -1, 0, 0, -1.0, -1.0
         self.samples, self.cost = SampleRing(1.0, 6), dict[str, float]()
 
     def worth(self, now: float) -> float:
-        return self.places * (1 - self.failing) / self.slow * (self.presence == "on" and now >= self.resume)
+        good = min(1.0, 1 + self.usual - self.failing) * (self.presence == "on" and now >= self.resume)
+        return self.places * good / self.slow
 
     def has_place(self, now: float) -> bool:
         return len(self.out) < max(1, int(worth)) if (worth := self.worth(now)) > 0 else False
@@ -212,7 +211,7 @@
                 self.places += growth
         elif outcome in ("error", "broken", "unreachable"):
             self.failing += (1 - self.failing) * 0.25
-            self.resume = now + 2 * self.failing if self.failing > 0.3 else self.resume
+            self.resume = now + 2 * over if (over := self.failing - self.usual) > 0.3 else self.resume
         elif outcome == "full":
             self.resume, self.ratio = max(self.resume, now + 0.1), self.ratio * 1.05
             self.places = max(LEAST_PLACES * self.first_places, self.places * 0.7)
@@ -611,10 +610,11 @@
             samples = sorted(server.samples.values(now) + ages)
             if samples:
                 quantiles[server.name] = (samples[int(JUDGED * (len(samples) - 1) + 0.5)], len(samples))
+        usual = sorted([one.failing for one in self.servers.values()] or [0.0])[len(self.servers) // 4]
         middle = max(1.0, median([value for value, _ in quantiles.values()] or [1.0]))
         for server in self.servers.values():
             value, number = quantiles.get(server.name, (middle, 0))
-            server.slow = max(1.0, (value / middle) ** (number / (number + 4)) / 1.3)
+            server.usual, server.slow = usual, max(1.0, (value / middle) ** (number / (number + 4)) / 1.3)
 
     def _limit(self, now: float) -> None:
         """The limiting rates: ratio x cost sent, split by quota, least over servers, worst zone ignored."""
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -238,3 +238,20 @@
     handle.ended(100.2, 0, "ok", 0.2, True)
     at.roster(100.3, [], complete=False)
     assert list(at.servers) == ["s2"]
+
+
+def test_what_befalls_all_servers_alike_pauses_none_and_one_that_fails_alone_rests() -> None:
+    """Guards against servers left out, and work refused, for connections reset on the way to all of them."""
+    at = gateway()
+    at.roster(100.0, [replace(SERVER, server=f"s{number}") for number in range(4)], complete=True)
+    for one in at.servers.values():
+        one.failing = 0.5
+    at._judge(100.0)
+    alike, alone = at.servers["s0"], at.servers["s1"]
+    alike.answered(100.0, at.lanes["lane"], "broken", 0.001, None, 0.0)
+    assert alike.worth(100.0) > 0.8 * alike.places
+    for name in ("s0", "s2", "s3"):
+        at.servers[name].failing = 0.0
+    at._judge(100.0)
+    alone.answered(100.0, at.lanes["lane"], "broken", 0.001, None, 0.0)
+    assert alone.worth(100.0) == 0.0 and alone.resume > 101.0
