--- a/merlintally/choice.py
+++ b/merlintally/choice.py
@@ -1,7 +1,7 @@
 """Every decision of a gateway that holds customers to quotas: global tag throttling, with few exceptions.
 
-How to call it: make one `Gateway(facts, seed, now)` for each edge node. `gateway.take(...)` gives a handle,
-whose calls `ended`, `begun`, `left` tell what happens to it. All else is told by `roster`, `counted`, `noted`,
+How to call it: make one `Gateway(facts, seed, now)` for each edge node. `gateway.take(...)` gives a handle;
+its calls `ended`, `begun`, `left` tell what happens to it. All else is told by `roster`, `counted`, `noted`,
 `wake`; what is to be done comes from `take_results(now)`. Types: interface.py. The design: docs/design.md."""
 
 from __future__ import annotations
