Answers that a client does not read count as held

Read beside the limits of 32 to 192 MB: commands and buffers were counted, answers left unread were not; up to 16 answers of 64 KiB for each connection. They count now until they are written, and beyond the share nothing more is read of clients.

--- a/merlintally/net/clients.py
+++ b/merlintally/net/clients.py
@@ -43,6 +43,7 @@
         self.closing = self.ended = False
         self.known = False  # whether it has brought a submission
         self.faults = 0  # since then
+        self.unread = 0  # bytes held of answers that it has not read
         self._passed = anyio.Event()
 
     @property
@@ -163,19 +164,28 @@
             self.moved_at = self.clients.clock.now()
             try:
                 flushing = bool(self.stream.unsent)
-                if not self.stream.write(ready) and not flushing:
-                    self.clients.group.start_soon(self._flush)
+                if not self.stream.write(ready):
+                    self._hold_unread()
+                    if not flushing:
+                        self.clients.group.start_soon(self._flush)
             except OSError:
                 self.end()
         if self.closing and not self.due and not self.stream.unsent:
             self.stream.end_sending()
         self._passed.set()
 
+    def _hold_unread(self) -> None:
+        """Guards against memory taken by answers that nobody reads: they count as held until written."""
+        before, self.unread = self.unread, sum(len(part) for part in self.stream.unsent)
+        self.clients.held.take(self.unread)
+        self.clients.held.give(before)
+
     async def _flush(self) -> None:
         try:
             await self.stream.flush()
         except OSError:
             self.end()
+        self._hold_unread()
         self.moved_at = self.clients.clock.now()
         self.pass_on()
 
@@ -194,6 +204,8 @@
         """The client has gone away: whoever owns the decisions is told of all that it waited for."""
         self.ended = self.closing = True
         self.stream.close()
+        self.stream.unsent = []
+        self._hold_unread()
         clients = self.clients
         clients.connections.pop(self, None)
         clients.descriptors.give()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -11,8 +11,9 @@
 from contextlib import ExitStack, contextmanager, suppress
 from dataclasses import replace
 from pathlib import Path
+from types import SimpleNamespace
 from typing import Any
-from unittest.mock import patch
+from unittest.mock import Mock, patch
 
 import anyio
 import pytest
@@ -21,11 +22,15 @@
 from merlintally.choice import Gateway, Submission
 from merlintally.interface import Outcome
 from merlintally.net import EdgeNode
+from merlintally.net.clients import Client
 from merlintally.net.configuration import Bounds
 from merlintally.net.log import Log
 from merlintally.net.node import reread
 from merlintally.net.phases import Phase
 from merlintally.net.resp import array_at, bulk
+from merlintally.net.sockets import Allowance
+from merlintally.net.taken import Due
+from merlintally.net.timers import Clock
 
 ROOT = Path(__file__).parent.parent
 NOTHING = b"$-1\r\n$-1\r\n"
@@ -538,6 +543,22 @@
     play(told(known=known(at)), act, at)
 
 
+def test_answers_that_are_not_read_count_as_held() -> None:
+    """Guards against memory without a bound: beyond what may be held no client is read."""
+    ours, theirs = socket.socketpair()
+    ours.setblocking(False)
+    clients: Any = SimpleNamespace(held=Allowance(1 << 20), clock=Clock(), bounds=Bounds(), group=Mock())
+    client = Client(clients, ours)
+    client.due.append(Due([b"x" * (8 << 20)]))
+    with theirs:
+        client.pass_on()
+        assert clients.held.full and clients.group.start_soon.called
+    client.stream.unsent = []
+    client._hold_unread()
+    ours.close()
+    assert clients.held.held == 0
+
+
 def test_a_datagram_of_a_stranger_or_beyond_256_bytes_is_dropped() -> None:
     noted = list[tuple[int, bytes]]()
     ours = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
