--- a/merlintally/net/configuration.py
+++ b/merlintally/net/configuration.py
@@ -39,6 +39,7 @@
     client_share: float = 0.65  # of all others, for clients: for those with something open, and to stay
     idle_share: float = 0.4  # of the app servers' stated idle time, after which a connection is retired
     rest_s: float = 0.003  # after an answer, until the connection of an app server is used again
+    stall_s: float = 0.25  # without more of an answer that has begun to come, after which it is given up
     counter_silence_s: float = 1.0  # without an answer that is due, after which its connection is given up
     counter_calls: int = 1024  # calls to the counter that are out at once
     watch_s: float = 10.0  # for which a watch on discovery may wait
--- a/merlintally/net/servers.py
+++ b/merlintally/net/servers.py
@@ -133,8 +133,8 @@
             self.fleet.rest(self)
         else:
             self.begin(self.execution)
-        while await self.stream.receive():
-            fleet, stream = self.fleet, self.stream
+        fleet, stream = self.fleet, self.stream
+        while await self._more():
             found = answer_at(stream.buffer, stream.start, stream.end, fleet.reported)
             if found is None:
                 if stream.overfull:
@@ -152,6 +152,15 @@
             if self.dead:
                 return
 
+    async def _more(self) -> int:
+        """Wait for more bytes. Guards against answers that stop short: places taken for good."""
+        begun, got = self.stream.start < self.stream.end, 0
+        with anyio.move_on_after(self.fleet.stall_s if begun else None) as waiting:
+            got = await self.stream.receive()
+        if waiting.cancelled_caught:
+            raise Malformed("an answer stopped short")
+        return got
+
     def begin(self, execution: Execution) -> None:
         """Write an execution out; when that fails before its last byte, it has never run."""
         self.execution, execution.link = execution, self
@@ -195,7 +204,7 @@
         self.keeper, self.clock, self.log, self.group = keeper, clock, log, group
         self.descriptors, self.held, self.reported = descriptors, held, deployment.reported
         self.connect_time_out = deployment.connect_time_out
-        self.rest_s = deployment.bounds.rest_s
+        self.rest_s, self.stall_s = deployment.bounds.rest_s, deployment.bounds.stall_s
         self.retire_after = deployment.idle_close * deployment.bounds.idle_share
         self.servers: dict[str, Server] = {}
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -96,6 +96,19 @@
     assert heard == [b"-ERR given up\r\n"] * 5
 
 
+def test_an_answer_that_stops_short_ends_early_and_another_execution_may_follow() -> None:
+    """Guards against places taken until the hard limit by answers that will never be whole."""
+    answers = iter([OK[:9], OK])
+    at = Standin(lambda heard: next(answers) if whole(heard) else b"")
+
+    async def act(scene: Scene) -> None:
+        began = anyio.current_time()
+        assert await scene.ask(said()) == b"$2\r\nhi\r\n"
+        assert anyio.current_time() - began < 0.8
+
+    assert "stopped short" in play(told(known=known(at), bounds=Bounds(stall_s=0.1)), act, at)
+
+
 def test_commands_behind_one_another_are_answered_in_order() -> None:
     """Guards against answers that overtake: the first is slow, and things beside submissions come at once."""
     at, heard = server(), list[bytes]()
