--- a/example/client.py
+++ b/example/client.py
@@ -24,12 +24,13 @@
             if number % 2:
                 name, terms = b"Q.DO", b"c=order,k=" + secrets.token_hex(8).encode()
             terms += b",t=team,d=2000,units=1,spread=2,first=0"
-            sock.sendall(command(name, CUSTOMER, secrets.token_hex(8).encode(), terms, b"some work"))
+            words = [name, CUSTOMER, secrets.token_hex(8).encode(), terms]
+            sock.sendall(command(*words, *([b"some work"] if name == b"Q.DO" else [])))
             head = answers.readline()
-            words = answers.read(int(head[1:]) + 2) if head.startswith(b"$") else head
+            answer = answers.read(int(head[1:]) + 2) if head.startswith(b"$") else head
             meaning = {36: "delivered", 45: "given up"}.get(head[0], "?")
             meaning = "bounced" if head.startswith(b"-BUSY") else meaning
-            print(f"{name.decode():6} {meaning}: {words.decode().strip()}")
+            print(f"{name.decode():6} {meaning}: {answer.decode().strip()}")
 
 
 if __name__ == "__main__":
