--- a/merlintally/__main__.py
+++ b/merlintally/__main__.py
@@ -1,8 +1,10 @@
-"""One real edge node, told what to do by LB_CONFIG: `python -m merlintally`."""
+"""One real edge node, as LB_CONFIG tells: `python -m merlintally`; with arguments, the command line."""
 
 import sys
 
-from merlintally.net.node import main
-
 if __name__ == "__main__":
+    if len(sys.argv) > 1:
+        from merlintally.cli import main
+    else:  # the lean way: nothing is loaded that the node does not need
+        from merlintally.net.node import main
     sys.exit(main())
--- /dev/null
+++ b/merlintally/lab/builds.py
@@ -0,0 +1,195 @@
+"""Builds of the decisions: the module as it stands, a revision or file of it, or a baseline beside it."""
+
+from __future__ import annotations
+
+import dataclasses
+import importlib
+import importlib.abc
+import importlib.machinery
+import importlib.util
+import re
+import subprocess
+import sys
+from collections.abc import Callable
+from hashlib import blake2b
+from pathlib import Path
+from types import ModuleType
+from typing import TYPE_CHECKING, Any
+
+from merlintally.forms import Faults, nearest
+from merlintally.lab.days import Day
+from merlintally.lab.discovery import Entry
+
+if TYPE_CHECKING:
+    from merlintally.lab.world import World
+
+IMPORTS = re.compile(r"^(\s*(?:from|import)\s+)merlintally\b", re.MULTILINE)
+
+
+class Build:
+    """Decisions that can be put into edge nodes. `name` is what was asked for, `digest` tells its text."""
+
+    def __init__(self, name: str, package: str, digest: str) -> None:
+        self.name, self.digest = name, digest
+        self.interface: Any = importlib.import_module(f"{package}.interface")
+        self.choice: Any = importlib.import_module(f"{package}.choice")
+        self.facts_rows = {row.name for row in dataclasses.fields(self.interface.StartFacts)}
+
+    def facts(self, day: Day, number: int, zone: int) -> Any:
+        """What an edge node of the day is told when it starts."""
+        rules, fleet = day.rules, day.fleet
+        lanes = tuple(
+            self._row(
+                "LaneFacts",
+                {
+                    "name": one.name,
+                    "quoted_time": one.quoted_time_s,
+                    "hard_limit": one.hard_limit_s,
+                    "gain": one.gain,
+                    "late_gain": one.late_gain,
+                    "effect": one.effect,
+                    "discard_group": one.group,
+                    "remembered": one.remembered_s,
+                },
+            )
+            for one in day.lane
+        )
+        plans = tuple(self._row("PlanFacts", plan_rows(day, at)) for at in range(len(day.plan)))
+        return self._row(
+            "StartFacts",
+            {
+                "number": number,
+                "gateways": fleet.gateways,
+                "zone": f"z{zone}",
+                "lanes": lanes,
+                "plans": plans,
+                "largest_units": float(day.traffic.units),
+                "settles": True,
+                "may_count": True,
+                "count_time_out": day.counter.time_out_s,
+                "count_price": day.counter.price,
+                "may_note": day.notes.allowed,
+                "note_price": day.notes.price,
+                "may_withdraw": rules.withdraw,
+                "parallel": rules.parallel,
+                "most_executions": rules.executions,
+                "retry_after_limit": rules.return_limit_s,
+                "cross_zone_price": 0.0,
+                "waste_price": day.goal.waste,
+                "drain_grace": rules.drain_grace_s,
+                "cold_share": rules.cold_share,
+                "warm_within": rules.warm_s,
+                "tip_multiple": rules.tip_multiple,
+                "tip_window": rules.tip_window_s,
+            },
+        )
+
+    def _row(self, kind: str, rows: dict[str, Any]) -> Any:
+        """A row of facts; an earlier revision takes those that it knows."""
+        made = getattr(self.interface, kind)
+        known = {row.name for row in dataclasses.fields(made)}
+        return made(**{name: value for name, value in rows.items() if name in known})
+
+    def server(self, entry: Entry) -> Any:
+        name, presence, zone, cell, started = entry
+        return self.interface.ServerFacts(
+            server=name, presence=presence, zone=f"z{zone}", cell=cell, started=started, size=1.0, machine="m"
+        )
+
+    def gateway(self, day: Day, number: int, zone: int, seed: int, now: float, world: World) -> Any:
+        """The decisions of one edge node, from nothing."""
+        return self.choice.Gateway(self.facts(day, number, zone), seed, now)
+
+
+def plan_rows(day: Day, at: int) -> dict[str, Any]:
+    """The facts of a plan: its figures hold for each of its customers."""
+    one = day.plan[at]
+    return {
+        "name": one.name,
+        "rate": one.units_per_s,
+        "burst": one.burst(day.traffic.units),
+        "open_limit": one.open_limit,
+        "ceiling_rate": one.units_per_s * one.ceiling,
+        "ceiling_burst": one.burst(day.traffic.units) * one.ceiling,
+        "ceiling_slack": one.ceiling_slack,
+        "price": one.price,
+        "beyond_gain": one.beyond_gain,
+        "beyond_cost": one.beyond_cost,
+    }
+
+
+class _Loader(importlib.abc.Loader):
+    def __init__(self, source: str, origin: str) -> None:
+        self.source, self.origin = source, origin
+
+    def exec_module(self, module: ModuleType) -> None:
+        exec(compile(self.source, self.origin, "exec"), module.__dict__)
+
+
+class _Finder(importlib.abc.MetaPathFinder):
+    """Finds the modules of one build under a package name of its own; its imports are led there, too."""
+
+    def __init__(self, package: str, read: Callable[[str], str | None]) -> None:
+        self.package, self.read = package, read
+
+    def find_spec(
+        self, fullname: str, path: Any, target: Any = None
+    ) -> importlib.machinery.ModuleSpec | None:
+        if fullname == self.package:
+            return importlib.machinery.ModuleSpec(fullname, _Loader("", fullname), is_package=True)
+        if not fullname.startswith(f"{self.package}."):
+            return None
+        source = self.read(fullname.removeprefix(f"{self.package}.").replace(".", "/") + ".py")
+        if source is None:
+            return None
+        told = IMPORTS.sub(rf"\g<1>{self.package}", source)
+        return importlib.machinery.ModuleSpec(fullname, _Loader(told, fullname))
+
+
+def _git(*words: str) -> str | None:
+    done = subprocess.run(
+        ["git", *words], capture_output=True, text=True, check=False, cwd=Path(__file__).resolve().parents[2]
+    )
+    return done.stdout if done.returncode == 0 else None
+
+
+def _loaded(name: str, read: Callable[[str], str | None]) -> Build:
+    text = read("choice.py") or ""
+    digest = blake2b(text.encode(), digest_size=6).hexdigest()
+    package = f"merlintally_build_{blake2b(name.encode(), digest_size=4).hexdigest()}_{digest}"
+    if package not in sys.modules:
+        sys.meta_path.insert(0, _Finder(package, read))
+    return Build(name, package, digest)
+
+
+def build(name: str) -> Build:
+    """`here`; `git:REVISION`; the path of another choice.py, or of a folder that holds one beside its
+    modules; or a baseline. Faults if there is no such build."""
+    from merlintally.lab.baselines import BASELINES
+
+    own = Path(__file__).resolve().parents[1]
+    if name == "here":
+        text = (own / "choice.py").read_text(encoding="utf-8")
+        return Build(name, "merlintally", blake2b(text.encode(), digest_size=6).hexdigest())
+    if name in BASELINES:
+        return BASELINES[name](name)
+    if name.startswith("git:"):
+        revision = _git("rev-parse", "--verify", "--quiet", f"{name[4:]}^{{commit}}")
+        if revision is None or _git("cat-file", "-e", f"{revision.strip()}:merlintally/choice.py") is None:
+            raise Faults([f"{name}: no such revision, or it has no merlintally/choice.py"])
+        return _loaded(name, lambda path: _git("show", f"{revision.strip()}:merlintally/{path}"))
+    path = Path(name)
+    if path.is_dir() and (path / "choice.py").is_file():
+        return _loaded(str(path.resolve()), lambda part: _text(path / part) or _text(own / part))
+    if path.is_file():
+        return _loaded(str(path.resolve()), lambda part: _text(path if part == "choice.py" else own / part))
+    raise Faults(
+        [
+            f"{name}: there is no such build{nearest(name, ['here', *BASELINES])}; "
+            f"here, git:REVISION, a path, or one of {', '.join(BASELINES)}"
+        ]
+    )
+
+
+def _text(path: Path) -> str | None:
+    return path.read_text(encoding="utf-8") if path.is_file() else None
--- /dev/null
+++ b/merlintally/lab/world.py
@@ -0,0 +1,123 @@
+"""A day's whole world: the parties, the network between them, and a timeline of troubles."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING, Any
+
+from merlintally.lab.agenda import Agenda, chance
+from merlintally.lab.counter import Counter
+from merlintally.lab.days import Day
+from merlintally.lab.discovery import Discovery
+from merlintally.lab.front import First, Front, Node
+from merlintally.lab.record import Record
+from merlintally.lab.referee import Referee
+from merlintally.lab.servers import Server, Stamps
+from merlintally.lab.troubles import begin
+
+if TYPE_CHECKING:
+    from merlintally.lab.builds import Build
+
+START = 1_000_000.0  # the world's clock at a day's start, seconds
+SAMPLE_S = 0.5  # between looks at what is out at each server
+
+
+class World:
+    """All that is round the edge nodes. `number_of_nodes` nodes are added by whoever runs the day."""
+
+    def __init__(self, day: Day, seed: int, record: Record) -> None:
+        self.day, self.seed = day, seed
+        self.agenda = Agenda(START)
+        self.referee = Referee(day, START, record)
+        self.dice = self.stream("network")
+        self.trouble_dice = self.stream("troubles")
+        self.stamps = Stamps()
+        self.servers: dict[str, Server] = {}
+        self.discovery = Discovery(day.discovery, self.agenda, self.stream("discovery"))
+        self.counter = Counter(day.counter, self.agenda)
+        self.nodes: list[Node] = []
+        self.front: Front
+        self.cut_zones: set[int] = set()
+        self.reset_share, self.notes_lost, self.last_server = 0.0, day.notes.lost, 0
+        self.shared: dict[str, dict[str, Any]] = {}  # between the gateways of an oracle
+        self.notices: list[str] = []  # troubles that met nothing
+        speeds = self.stream("servers")
+        for _ in range(day.fleet.servers):
+            server = self.new_server(0.0, speeds)
+            self.discovery.known(server)
+
+    def stream(self, name: str) -> random.Random:
+        return chance(self.seed, name)
+
+    @property
+    def nobody(self) -> First:
+        """A first try for what belongs to none."""
+        day = self.day
+        customer = self.front.customers[0]
+        return First(customer, day.lane[0], 0.0, 0.0, 0.0, "none", self.agenda.now, 0)
+
+    def new_server(self, started: float, dice: random.Random) -> Server:
+        """A machine of its own name; zones and cells in turn, so that a cell lies in one zone."""
+        number, fleet = self.last_server, self.day.fleet
+        self.last_server += 1
+        zone = number % fleet.zones
+        cell = (number // fleet.zones // fleet.cell_size) * fleet.zones + zone
+        server = Server(
+            f"s{number}",
+            self.day,
+            zone,
+            cell,
+            dice.uniform(*fleet.speeds),
+            started,
+            self.agenda,
+            self.stream(f"server {number}"),
+            self.stamps,
+        )
+        self.servers[server.name] = server
+        return server
+
+    def cut(self, zone: int, other: int) -> bool:
+        """Whether nothing passes between two zones."""
+        return (
+            zone != other and bool(self.cut_zones) and ((zone in self.cut_zones) != (other in self.cut_zones))
+        )
+
+    def spread(self, sender: Node, note: bytes) -> None:
+        """A note goes to every other edge node, late, or is lost on the way."""
+        late, dice, counts = self.day.notes.late_s, self.dice, self.referee.counts
+        for node in self.nodes:
+            if node is sender or not node.alive:
+                continue
+            counts["note bytes"] += len(note)
+            if dice.random() >= self.notes_lost and not self.cut(sender.zone, node.zone):
+                self.agenda.after(dice.uniform(*late), node.noted, sender.number, note)
+
+    def up_servers(self) -> list[Server]:
+        return [one for one in self.servers.values() if one.state == "up"]
+
+    def sample(self) -> None:
+        """What is out at each server, for plots."""
+        held = {one.name: one.held for one in self.servers.values() if one.held}
+        self.referee.out_samples.append((self.agenda.now - START, held))
+        self.agenda.after(SAMPLE_S, self.sample)
+
+    def open(self) -> None:
+        """The day begins: clients come, and troubles are on their way."""
+        self.front = Front(self.day, self.seed, self.agenda, self.nodes, self.referee)
+        self.front.start()
+        self.sample()
+        for trouble in self.day.trouble:
+            self.agenda.after(trouble.at_s, begin, self, trouble)
+
+    def close(self) -> None:
+        """The day is over and all is answered that will be: judge what is left."""
+        self.referee.close(self.agenda.now, self.stamps.effects)
+
+
+def simulated(day: Day, seed: int, build: Build, record: Record) -> World:
+    """A world with simulated edge nodes of one build."""
+    from merlintally.lab.nodes import SimNode
+
+    world = World(day, seed, record)
+    world.nodes.extend(SimNode(world, number, build) for number in range(day.fleet.gateways))
+    return world
--- a/merlintally/net/clients.py
+++ b/merlintally/net/clients.py
@@ -64,7 +64,7 @@
                 await self.clients.held.room()
             await self._linger()
         except Exception:
-            self.clients.log.say(f"a client's connection failed: {traceback.format_exc()}")
+            self.clients.log.say(f"a client's connection failed: {traceback.format_exc()}", "client.failed")
         finally:
             await self._gone()
 
@@ -91,7 +91,7 @@
                     words = [(one[0] - first, one[1] - first) for one in spans if one is not None]
                     await self._command(raw, words if len(words) == len(spans) else [(0, 0)])
         except Malformed as wrong:  # the framing is lost: answer what was taken before, and close
-            self.clients.log.say(f"a client's connection is closed: {wrong}")
+            self.clients.log.say(f"a client's connection is closed: {wrong}", "client.closed")
             self.due.append(Due([b"-ERR Protocol error: %b\r\n" % plain(wrong)]))
             self.closing = True
             self.pass_on()
@@ -241,7 +241,8 @@
         while True:
             if self.descriptors.full:
                 if not self.give_way():
-                    self.log.say("no descriptors are left for clients, and none of them is idle")
+                    self.log.say("no descriptors are left for clients, and none of them is idle",
+                                 "clients.descriptors")
                 with anyio.move_on_after(self.bounds.again_s):  # one may fall idle meanwhile
                     await self.descriptors.room()
                 continue
@@ -249,7 +250,7 @@
             scarce = self.accept_all(AT_ONCE)
             await anyio.sleep(0)  # guards against others kept waiting where hundreds connect at once
             if scarce:  # guards against a loop that spins on a listener it can't accept from
-                self.log.say(f"no connection can be accepted: {scarce.strerror}")
+                self.log.say(f"no connection can be accepted: {scarce.strerror}", "clients.accept")
                 self.give_way()
                 await anyio.sleep(self.bounds.again_s)
 
--- a/merlintally/net/counter.py
+++ b/merlintally/net/counter.py
@@ -91,7 +91,7 @@
         for line in self.lines:
             since = max(line.heard_at, line.pending[0].began) if line.pending else self.clock.now()
             if self.clock.now() - since > self.bounds.counter_silence_s:
-                self.log.say("the counter is silent; its connection is given up")
+                self.log.say("the counter is silent; its connection is given up", "counter.silent")
                 line.stream.hang_up()
 
     def _over(self, call: Call, outcome: CounterOutcome, total: float = 0.0) -> None:
@@ -123,7 +123,7 @@
                 except OSError as wrong:  # one in time: calls that waited for it are over at their own times
                     stream.close()
                     if not isinstance(wrong, TimeoutError):
-                        self.log.say(f"the counter can't be reached: {wrong.strerror}")
+                        self.log.say(f"the counter can't be reached: {wrong.strerror}", "counter.unreachable")
                         await self._lose(self.unsent)
                     continue
                 if where != self.where:
@@ -150,7 +150,7 @@
                 line.heard_at = self.clock.now()
                 await self._answers(line)
         except Malformed as wrong:
-            self.log.say(f"counter: {wrong}; the connection is closed")
+            self.log.say(f"counter: {wrong}; the connection is closed", "counter.spoilt")
         finally:
             self.lines.pop(line, None)
             self._leave(line)
--- a/merlintally/net/discovery.py
+++ b/merlintally/net/discovery.py
@@ -52,7 +52,7 @@
 
     def _complain(self, wrong: str) -> None:
         if not self.broken:  # once for each time that it breaks
-            self.log.say(f"discovery: {wrong}; the last list goes on being used")
+            self.log.say(f"discovery: {wrong}; the last list goes on being used", "discovery.broken")
         self.broken = True
 
     async def _follow(self) -> None:
--- a/merlintally/net/keeper.py
+++ b/merlintally/net/keeper.py
@@ -25,6 +25,12 @@
 SAME_ID: list[Buffer] = [b"-ERR the id is that of an open submission\r\n"]
 
 
+def kind_of(answer: list[Buffer]) -> str:
+    """What an answer is called in the log."""
+    head = bytes(memoryview(answer[0])[:5])
+    return "bounced" if head == b"-BUSY" else "given up" if head[:1] == b"-" else "delivered"
+
+
 class Keeper:
     """Turns what comes through the queue into calls on the decisions, and carries out what they want done.
 
@@ -68,7 +74,7 @@
         try:
             call(*args)
         except Exception:
-            self.log.say(f"a call failed: {traceback.format_exc()}")
+            self.log.say(f"a call failed: {traceback.format_exc()}", "call.failed")
 
     def carry_out(self) -> None:
         """Do what the decisions want, sends first, so that a later row may name them. Guards against a row
@@ -79,7 +85,7 @@
             if results.wake_after is not None:
                 self.timers.at(now + results.wake_after, self.woken)
             for line in results.logs:
-                self.log.say(line)
+                self.log.say(line, "decisions")
             for number, server, time_out in results.sends:
                 self._do(self._begin, (number, server, time_out, now))
             for number, wait in results.bounced:
@@ -118,6 +124,7 @@
         finally:
             if taken.handle is None:
                 self._answer(taken.number, GIVEN_UP)
+        self._step(taken, "submission.taken", plan=taken.plan, units=taken.units, left_s=taken.ends - now)
 
     def left(self, taken: Taken) -> None:
         """Its client has gone away."""
@@ -132,6 +139,8 @@
             return
         execution.over = True
         taken, now = execution.taken, self.clock.now()
+        self._step(taken, "execution.ended", execution=execution.number, outcome=answer.outcome,
+                   after_s=now - execution.began)
         taken.out.pop(execution.number, None)
         if answer.value:
             self._pass_on(taken, [answer.value])
@@ -166,6 +175,12 @@
             if taken.handle is not None and not taken.handle.closed:
                 self.gateway.finish(now, taken.handle)
 
+    def _step(self, taken: Taken, event: str, **fields: object) -> None:
+        """A step of a submission, for those who follow an id over nodes."""
+        if self.log.follows:
+            self.log.say("", event, submission=taken.id.decode(), customer=taken.customer, lane=taken.lane,
+                         **fields)
+
     # What the decisions want done.
 
     def _begin(self, number: int, server: str, time_out: float, now: float) -> None:
@@ -174,6 +189,7 @@
         execution = Execution(taken, taken.sent, now, until)
         taken.sent += 1
         taken.out[execution.number] = execution
+        self._step(taken, "execution.sent", execution=execution.number, server=server)
         if not taken.gone and self.fleet.send(server, execution):
             self.timers.at(until, self.expired, execution)
         else:
@@ -199,6 +215,7 @@
     def _pass_on(self, taken: Taken, answer: list[Buffer]) -> None:
         """The final answer of a submission: the first one, and never another."""
         if taken.answer is None and not taken.gone:
+            self._step(taken, "submission.answered", answer=kind_of(answer))
             taken.answer = answer
             taken.client.pass_on()
 
--- a/merlintally/net/node.py
+++ b/merlintally/net/node.py
@@ -65,7 +65,8 @@
     def reload(self, after: Deployment) -> None:
         """Take up another configuration: where discovery and the counter are. The rest is told of."""
         if fixed := fixed_changes(self.deployment, after):
-            self.log.say(f"configuration: changes only with a restart: {', '.join(fixed)}")
+            self.log.say(f"configuration: changes only with a restart: {', '.join(fixed)}",
+                         "configuration.fixed", keys=",".join(fixed))
         if self.discovery is not None:
             self.discovery.move(after.discovery)
         if self.counter is not None and after.counter is not None:
@@ -126,7 +127,7 @@
             try:
                 await task()
             except Exception:
-                self.log.say(f"a task begins again: {traceback.format_exc()}")
+                self.log.say(f"a task begins again: {traceback.format_exc()}", "task.again")
             await anyio.sleep(self.deployment.bounds.again_s)
 
     async def _finish(self, keeper: Keeper, clients: Clients) -> None:
@@ -160,12 +161,14 @@
     try:
         node.reload(read_deployment(os.environ))
     except Faulty as wrong:
-        node.log.say(f"{wrong}; the old configuration stays in force")
+        node.log.say(f"{wrong}; the old configuration stays in force", "configuration.faulty")
+    if node.log.reread is not None:
+        node.log.reread(node.log)
 
 
-async def run_program(deployment: Deployment) -> None:
+async def run_program(deployment: Deployment, log: Log | None = None) -> None:
     """Serve until told to stop by a signal; SIGHUP has the configuration read again."""
-    node = EdgeNode(deployment)
+    node = EdgeNode(deployment, log)
     node.bind()
     async with anyio.create_task_group() as group:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
@@ -183,7 +186,9 @@
         group.cancel_scope.cancel()
 
 
-def main() -> int:
+def main(make_log: Callable[[Deployment], Log] | None = None) -> int:
+    """Run the node that LB_CONFIG describes; gives the exit code: 0 after a clean leave, 1 where it can't
+    serve, 2 for a faulty configuration. `make_log` makes its log, else lines are plain."""
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # guards against one that comes too early, or while it ends
     try:
         deployment = read_deployment(os.environ)
@@ -191,7 +196,7 @@
         print(f"merlintally: {wrong}", file=sys.stderr)
         return 2
     try:
-        anyio.run(run_program, deployment)
+        anyio.run(run_program, deployment, make_log(deployment) if make_log else None)
     except OSError as wrong:
         print(f"merlintally: can't serve: {wrong}", file=sys.stderr)
         return 1
--- a/merlintally/net/peers.py
+++ b/merlintally/net/peers.py
@@ -27,7 +27,7 @@
     def tell(self, payload: bytes) -> None:
         """To all others; what can't be sent now is lost, as it may be on its way."""
         if self.everyone is None or len(payload) > MOST:
-            self.log.say(f"a note of {len(payload)} bytes can't be sent")
+            self.log.say(f"a note of {len(payload)} bytes can't be sent", "note.unsent", bytes=len(payload))
             return
         with suppress(OSError):
             self.sock.sendto(payload, self.everyone)
--- a/merlintally/net/servers.py
+++ b/merlintally/net/servers.py
@@ -110,11 +110,13 @@
         try:
             await self._serve()
         except Malformed as wrong:
-            self.fleet.log.say(f"app server {self.server.name}: {wrong}; the connection is closed")
+            self.fleet.log.say(f"app server {self.server.name}: {wrong}; the connection is closed",
+                               "server.spoilt", server=self.server.name)
         except OSError:
             pass
         except Exception:  # guards against a fault in handling one connection: it ends that one, and no other
-            self.fleet.log.say(f"app server {self.server.name}: {traceback.format_exc()}")
+            self.fleet.log.say(f"app server {self.server.name}: {traceback.format_exc()}",
+                               "server.failed", server=self.server.name)
         finally:
             self.dead = True
             self.stream.close()
@@ -247,12 +249,12 @@
                 return True
             link.end()
         if self.descriptors.full and not self._give_way():
-            self.log.say("no descriptors are left for connections to app servers")
+            self.log.say("no descriptors are left for connections to app servers", "servers.descriptors")
             return False
         try:
             link = Link(self, server, execution)
         except OSError as wrong:
-            self.log.say(f"no connection can be opened: {wrong.strerror}")
+            self.log.say(f"no connection can be opened: {wrong.strerror}", "servers.open")
             return False
         self.descriptors.take()
         server.links[link] = None
--- a/merlintally/net/timers.py
+++ b/merlintally/net/timers.py
@@ -50,7 +50,8 @@
                     await anyio.sleep_forever()
             now = self.clock.now()
             if self.due and now - self.due[0][0] > self.late:
-                self.log.say(f"the loop runs {now - self.due[0][0]:.3f} s late")
+                late = now - self.due[0][0]
+                self.log.say(f"the loop runs {late:.3f} s late", "loop.late", late_s=round(late, 3))
             while self.due and self.due[0][0] <= now:
                 _, _, call, args = heapq.heappop(self.due)
                 await self.post(call, *args)
--- /dev/null
+++ b/tests/test_front.py
@@ -0,0 +1,145 @@
+"""The command line, files that people write, and the log's styles."""
+
+from __future__ import annotations
+
+import io
+import json
+import subprocess
+import sys
+from pathlib import Path
+
+import anyio
+import msgspec
+import pytest
+from helpers import Scene, Standin, known, play, said, told
+
+from merlintally.cli.front import front, main
+from merlintally.forms import Faults, explain, read
+from merlintally.lab.days import Day, read_day
+from merlintally.load.profile import Profile
+from merlintally.net.log import Log
+from merlintally.operators import Operators, read_operators
+from merlintally.structured import Structured
+
+ROOT = Path(__file__).resolve().parents[1]
+
+
+Capture = pytest.CaptureFixture[str]
+Patch = pytest.MonkeyPatch
+
+
+def run(*words: str, capsys: Capture, monkeypatch: Patch) -> tuple[int, str, str]:
+    """The exit code and what was printed."""
+    monkeypatch.setattr(sys, "argv", ["merlintally", *words])
+    code = main()
+    told_out = capsys.readouterr()
+    return code, told_out.out, told_out.err
+
+
+def faults_of(document: object, kind: type = Operators) -> list[str]:
+    with pytest.raises(Faults) as caught:
+        read(document, kind)
+    return caught.value.lines
+
+
+def test_every_fault_is_told_with_its_key() -> None:
+    lines = faults_of({"log": {"fromat": "json", "lines_per_s": "many"}, "lab": {"processes": 0}, "lgo": {}})
+    assert [line.split(":")[0] for line in lines] == ["log.fromat", "log.lines_per_s", "lab.processes", "lgo"]
+    assert "did you mean format?" in lines[0] and "did you mean log?" in lines[3]
+
+
+def test_a_part_that_is_no_table_and_a_list_item_are_named() -> None:
+    assert faults_of({"log": 3}) == ["log: is no table"]
+    assert faults_of({"lane": [{"name": "x"}], "customers": [{"cuont": 1}]}, Profile) == [
+        "customers.0.cuont: there is no such key (did you mean count?)", "customers.0.plan: is missing"]
+
+
+def test_faults_between_keys_are_told_by_path() -> None:
+    calm = read_day("calm")
+    given = msgspec.to_builtins(calm)
+    given["lane"][0]["quoted_time_s"] = 99.0
+    given["trouble"] = [{"kind": "servers_slow", "at_s": 1.0}, {"kind": "zone_cut", "at_s": 1.0, "zone": 7}]
+    assert sorted(line.split(":")[0] for line in faults_of(given, Day)) == [
+        "lane.0.quoted_time_s", "trouble.0.part", "trouble.0.size", "trouble.1.zone"]
+
+
+def test_the_shipped_operators_file_loads_and_all_keys_have_a_meaning() -> None:
+    assert read_operators(ROOT / "deploy" / "operators.toml").log.format == "logfmt"
+    for kind in (Operators, Day, Profile):
+        assert all(meaning for _, _, _, meaning in explain(kind)), kind
+
+
+def test_exit_codes(capsys: Capture, monkeypatch: Patch, tmp_path: Path) -> None:
+    bad = tmp_path / "bad.toml"
+    bad.write_text("[log]\nformat = 'xml'\n")
+    for words, code, text in (
+            (("check", str(bad)), 2, "log.format"),
+            (("check", str(tmp_path / "none.toml")), 2, "can't be read"),
+            (("check", str(ROOT / "example" / "config.json")), 0, "a good deployment file"),
+            (("check", "--explain"), 0, "log.lines_per_s"),
+            (("chekc",), 2, "No such command"),
+            (("load", "10.1.2.3:80"), 2, "not a loopback address"),
+            (("load", "127.0.0.1:1"), 2, "no node answers"),
+            (("serve", "--config", str(tmp_path / "none.json")), 2, "can't be read"),
+            (("completion", "bash"), 0, "_MERLINTALLY_COMPLETE"),
+            (("completion", "tcsh"), 2, "no completion for tcsh")):
+        found = run(*words, capsys=capsys, monkeypatch=monkeypatch)
+        assert found[0] == code and text in found[1] + found[2], (words, found)
+
+
+def test_each_command_has_its_help(capsys: Capture, monkeypatch: Patch) -> None:
+    for name in front.list_commands(None):  # type: ignore[arg-type]
+        code, out, _ = run(name, "--help", capsys=capsys, monkeypatch=monkeypatch)
+        assert code == 0 and f"merlintally {name}" in out
+
+
+def test_a_check_for_machines(capsys: Capture, monkeypatch: Patch, tmp_path: Path) -> None:
+    bad = tmp_path / "bad.toml"
+    bad.write_text("lane = 1\n")
+    code, out, _ = run("check", "--json", str(bad), capsys=capsys, monkeypatch=monkeypatch)
+    assert code == 2 and json.loads(out)["ok"] is False and len(json.loads(out)["faults"]) == 2
+
+
+def test_a_structured_line_has_its_fields_and_tells_what_was_left_out() -> None:
+    for form, has in (("json", '"event": "loop.late"'), ("logfmt", "event=loop.late")):
+        stream = io.StringIO()
+        log = Log("n0", 1.0, stream, Structured(form))
+        log.say("the loop runs late", "loop.late", late_s=0.25)
+        log.say("not said")
+        log.room = 1.0
+        log.say("two\nlines", "other")
+        first, second = stream.getvalue().splitlines()
+        assert has in first and "0.25" in first and "n0" in first
+        assert "two lines" in second and "left_out" in second
+
+
+def test_a_style_that_fails_does_not_end_the_node() -> None:
+    stream = io.StringIO()
+    log = Log("n0", 9.0, stream, Structured("json"))
+    log.say("told all the same", "event", node="twice")  # the field's name is taken
+    assert "told all the same" in stream.getvalue()
+
+
+def test_an_id_can_be_followed_from_taking_to_answer() -> None:
+    server = Standin(lambda heard: b"*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n")
+
+    async def act(scene: Scene) -> None:
+        scene.node.log.style, scene.node.log.follows = Structured("json"), True
+        assert (await scene.ask(said(number=b"00000000000000aa"))).startswith(b"$1")
+        await anyio.sleep(0.02)
+
+    rows = [json.loads(line) for line in play(told(known=known(server)), act, server).splitlines()
+            if line.startswith("{")]
+    steps = [row["event"] for row in rows if row.get("submission") == "00000000000000aa"]
+    assert steps == ["submission.taken", "execution.sent", "submission.answered", "execution.ended"] or \
+        steps == ["submission.taken", "execution.sent", "execution.ended", "submission.answered"]
+    assert all(row["lane"] == "look" and row["node"] == "n" and row["customer"] for row in rows
+               if "submission" in row)
+
+
+def test_the_lean_node_loads_nothing_that_is_not_switched_on() -> None:
+    text = ("import sys, merlintally.net.node\n"
+            "print([name for name in ('click', 'msgspec', 'structlog', 'numpy', 'rich', 'hdrh',"
+            " 'merlintally.lab', 'merlintally.cli', 'merlintally.operators') if name in sys.modules])")
+    done = subprocess.run([sys.executable, "-c", text], capture_output=True, text=True, cwd=ROOT, check=True)
+    assert done.stdout.strip() == "[]"
