--- a/merlintally/cli/checking.py
+++ b/merlintally/cli/checking.py
@@ -6,6 +6,7 @@
 import os
 from collections.abc import Iterator
 from pathlib import Path
+from typing import Any
 
 import click
 import msgspec
@@ -38,7 +39,16 @@
     if path.suffix == ".json":
         return "deployment"
     keys = set(load(path))
-    return "day" if "fleet" in keys else "profile" if "lane" in keys else "operators"
+    return "day" if keys & {"fleet", "like", "trouble"} else "profile" if "lane" in keys else "operators"
+
+
+def document_of(path: Path, kind: str) -> dict[str, Any]:
+    """The file's table; a day's with what it takes from another."""
+    if kind == "day":
+        from merlintally.lab.days import load_day
+
+        return load_day(path)
+    return load(path)
 
 
 def check_deployment(path: Path) -> None:
@@ -90,7 +100,7 @@
         if found == "deployment":
             check_deployment(file)
         else:
-            read(load(file), form_of(found))
+            read(document_of(file, found), form_of(found))
     except Faults as wrong:
         if as_json:
             click.echo(json.dumps({"file": str(file), "ok": False, "faults": wrong.lines}))
--- a/merlintally/lab/baselines.py
+++ b/merlintally/lab/baselines.py
@@ -91,7 +91,7 @@
         if self.admits(now, key, self.plans[plan], units, gateways):
             self.send(now, handle)
         else:
-            self.finish(handle)
+            self.finish(now, handle)
         return handle
 
     def admits(self, now: float, key: str, plan: Any, units: float, gateways: int) -> bool:
@@ -122,11 +122,11 @@
 
     def send(self, now: float, handle: Handle) -> None:
         if now >= handle.ends or handle.sends >= self.facts.most_executions:
-            return self.finish(handle)
+            return self.finish(now, handle)
         server = self.pick(now, handle)
         if server is None:
             if handle.risky or now > handle.taken + 0.5:
-                return self.finish(handle)
+                return self.finish(now, handle)
             self.waiting.append(handle)
             return
         handle.out[handle.sends] = server
@@ -140,7 +140,7 @@
     def again(self, now: float, handle: Handle) -> None:
         self.send(now, handle)
 
-    def finish(self, handle: Handle) -> None:
+    def finish(self, now: float, handle: Handle) -> None:
         if handle.closed:
             return
         safe = not handle.risky or handle.lane.effect == "harmless"
--- a/merlintally/lab/days.py
+++ b/merlintally/lab/days.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterator
 from importlib import resources
 from pathlib import Path
-from typing import Annotated, Literal
+from typing import Annotated, Any, Literal
 
 from msgspec import Meta, Struct, structs
 
@@ -43,6 +43,7 @@
     "notes_lost",
     "connections_reset",
     "answers_late",
+    "answers_spoilt",
     "traffic_burst",
     "plan_burst",
     "strangers",
@@ -64,6 +65,7 @@
     "clients_leave",
     "connections_reset",
     "answers_late",
+    "answers_spoilt",
 }
 SIZES = {
     "servers_slow",
@@ -342,17 +344,50 @@
     return {path.stem: path for path in sorted(folder.glob("*.toml"))}
 
 
+def path_of(name: str) -> Path:
+    """The file of a shipped day, or of one given by its path."""
+    path = Path(name)
+    if path.suffix == ".toml":
+        return path
+    known = shipped()
+    if name not in known:
+        raise Faults(
+            [f"{name}: there is no such day{nearest(name, list(known))}; see `merlintally lab list`"]
+        )
+    return known[name]
+
+
+def load_day(path: Path) -> dict[str, Any]:
+    """A day's file as a table. Where it says `like = "NAME"`, what it leaves out is taken from that day: keys
+    one by one, lists whole. The other day is a shipped one, or a file beside this one."""
+    found, seen = load(path), [path.resolve()]
+    while isinstance(other := found.pop("like", None), str):
+        beside = path.parent / other
+        path = beside if other.endswith(".toml") else path_of(other)
+        if path.resolve() in seen:
+            raise Faults([f"{path}: like: a day can't be like itself"])
+        seen.append(path.resolve())
+        found = merged(load(path), found)
+    return found
+
+
+def merged(base: dict[str, Any], over: dict[str, Any]) -> dict[str, Any]:
+    """Two tables as one; `over` wins.
+
+    >>> merged({"a": {"b": 1, "c": 2}, "d": [1]}, {"a": {"b": 3}, "d": [2]})
+    {'a': {'b': 3, 'c': 2}, 'd': [2]}
+    """
+    found = dict(base)
+    for key, value in over.items():
+        both = isinstance(value, dict) and isinstance(found.get(key), dict)
+        found[key] = merged(found[key], value) if both else value
+    return found
+
+
 def read_day(name: str) -> Day:
     """A shipped day by its name, or a file by its path; Faults if it can't be used."""
-    path = Path(name)
-    if path.suffix != ".toml":
-        known = shipped()
-        if name not in known:
-            raise Faults(
-                [f"{name}: there is no such day{nearest(name, list(known))}; `merlintally lab list`"]
-            )
-        path = known[name]
+    path = path_of(name)
     try:
-        return read(load(path), Day)
+        return read(load_day(path), Day)
     except Faults as wrong:
-        raise Faults([f"{path}: {line}" if str(path) not in line else line for line in wrong.lines]) from None
+        raise Faults([line if str(path) in line else f"{path}: {line}" for line in wrong.lines]) from None
--- a/merlintally/lab/front.py
+++ b/merlintally/lab/front.py
@@ -4,7 +4,7 @@
 
 import math
 import random
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import TYPE_CHECKING
 
 from merlintally.lab.agenda import Agenda, chance
@@ -85,6 +85,14 @@
     zone: int
     alive: bool
 
+    def restart(self, up: Callable[[], None]) -> None:
+        """Start again from nothing; `up` is called when it answers."""
+        raise NotImplementedError
+
+    def retire(self, ended: Callable[[], None]) -> None:
+        """A planned end: it answers all that it took first; `ended` is called when it is over."""
+        raise NotImplementedError
+
     def noted(self, peer: int, payload: bytes) -> None:
         """A note of another edge node has come."""
 
@@ -324,6 +332,9 @@
         if not self.nodes[number].alive:
             self.down[number] = True
 
+    def leaves(self, number: int) -> None:
+        self.down[number] = True
+
     def died(self, number: int) -> None:
         self.agenda.after(self.dice.uniform(*self.day.traffic.notice_s), self.noticed_down, number)
 
--- a/merlintally/lab/nodes.py
+++ b/merlintally/lab/nodes.py
@@ -18,6 +18,9 @@
     from merlintally.lab.world import World
 
 
+READY_S, LEAVE_S, FINISH_S = 0.05, 0.5, 3.4  # seconds: to start; told to stop, still taking; until all ends
+
+
 class Taken:
     """One submission at a node."""
 
@@ -91,6 +94,29 @@
                 server.connections -= sum(process == server.started for _, process in idle)
         self.taken, self.gateway = {}, None
 
+    def restart(self, up: Callable[[], None]) -> None:
+        self.start()
+        self.world.agenda.after(READY_S, up)
+
+    def retire(self, ended: Callable[[], None]) -> None:
+        self._leave_soon(self.life, self.world.agenda.now, ended)
+
+    def _leave_soon(self, life: int, told: float, ended: Callable[[], None]) -> None:
+        """Once half a second has passed it ends when all is answered, or after what is left is finished."""
+        now = self.world.agenda.now
+        if life != self.life or not self.alive:
+            return
+        waits = any(not one.answered and not one.gone for one in self.taken.values())
+        if now - told >= FINISH_S and waits:
+            for taken in list(self.taken.values()):
+                if taken.handle is not None and not taken.handle.closed:
+                    self.gateway.finish(now, taken.handle)
+            self.carry_out()
+        elif now - told >= LEAVE_S and not waits:
+            self.kill()
+            return ended()
+        self.world.agenda.after(0.05, self._leave_soon, life, told, ended)
+
     def hang(self) -> None:
         self.hung = True
         self.world.referee.excused(self.name)
@@ -153,7 +179,6 @@
         if taken is None:
             return
         taken.gone = True
-        self.world.referee.left(trying, True)
         if taken.handle is not None and not taken.answered:
             taken.handle.left(self.world.agenda.now)
         self._forget(taken)
@@ -276,6 +301,8 @@
         if world.reset_share and world.dice.random() < world.reset_share:
             self._back(execution, "broken")  # the connection breaks under it; the work goes on
             execution.piece.done = lambda outcome, _: None
+        elif world.spoilt_share and world.dice.random() < world.spoilt_share:
+            execution.piece.done = lambda outcome, _: self._back(execution, "broken")
         server.arrive(execution.piece)
 
     def _back(self, execution: Execution, outcome: str) -> None:
--- a/merlintally/lab/play.py
+++ b/merlintally/lab/play.py
@@ -14,7 +14,7 @@
 from merlintally.lab.days import Day
 from merlintally.lab.figures import customers, figures, series
 from merlintally.lab.record import Record
-from merlintally.lab.world import START, World, simulated
+from merlintally.lab.world import World, simulated
 
 STEP_S = 0.5  # simulated seconds between looks at the progress
 RESULT_VERSION = 1
@@ -47,19 +47,24 @@
     troubles: list[tuple[str, float, float]] = []
 
 
+def latest(day: Day) -> float:
+    """Seconds after the start by which all that was asked is over, with further tries."""
+    longest = max(one.hard_limit_s for one in day.lane)
+    return day.length_s + longest * (1 + day.clients.retries) + 3.0
+
+
 def drive(world: World, progress: Callable[[float], None] | None = None) -> None:
     """Run a simulated day to its end: nodes start, clients come, and all that was asked is answered."""
     for node in world.nodes:
         node.start()  # type: ignore[attr-defined]
-    world.agenda.run(START + 0.0)
+    world.agenda.run(world.started)
     world.open()
-    longest = max(one.hard_limit_s for one in world.day.lane)
-    ends = START + world.day.length_s + longest * (1 + world.day.clients.retries) + 3.0
+    ends = world.started + latest(world.day)
     while world.agenda.now < ends:
         world.agenda.run(min(ends, world.agenda.now + STEP_S))
         if progress is not None:
-            progress(min(1.0, (world.agenda.now - START) / (ends - START)))
-        if world.agenda.now >= START + world.day.length_s and not world.referee.open:
+            progress(min(1.0, (world.agenda.now - world.started) / (ends - world.started)))
+        if world.agenda.now >= world.started + world.day.length_s and not world.referee.open:
             break
     world.close()
 
--- a/merlintally/lab/referee.py
+++ b/merlintally/lab/referee.py
@@ -163,9 +163,14 @@
         self.record.line(now, "delivered", f"{trying.id} {elapsed:.6f}")
 
     def left(self, trying: Try, early: bool) -> None:
-        """A client has gone away: by its patience, or early."""
-        if (sub := self.open.get(trying.id)) is not None:
-            sub.left = sub.left or early
+        """A client has gone away: early, or after all the time that it had stated, and then it was owed an
+        answer."""
+        if (sub := self.open.pop(trying.id, None)) is None:
+            return
+        if not early and not sub.left:
+            self.lost(trying.id, sub, sub.ends)
+        sub.final, sub.left = "left", True
+        self.closed[trying.id] = sub
 
     # What edge nodes do.
 
@@ -377,9 +382,8 @@
                 self.breach(2, now, f"{number} took effect {count} times")
         for key, sub in self.open.items():
             if not sub.left:
-                self.breach(
-                    1,
-                    now,
-                    f"{key}, taken by {sub.node} at {sub.taken - self.started:.3f} s, "
-                    f"never got a final answer",
-                )
+                self.lost(key, sub, now)
+
+    def lost(self, key: int, sub: Submission, now: float) -> None:
+        taken = sub.taken - self.started
+        self.breach(1, now, f"{key}, taken by {sub.node} at {taken:.3f} s, never got a final answer")
--- a/merlintally/lab/servers.py
+++ b/merlintally/lab/servers.py
@@ -76,6 +76,7 @@
         self.slow = 1.0  # factor of a trouble
         self.errors, self.late, self.connections = fleet.errors, 0.0, 0
         self.fell = False
+        self.watch: Callable[[str], None] | None = None  # told when the process starts and ends
         self.start(started)
 
     def start(self, started: float) -> None:
@@ -87,6 +88,8 @@
         self.lately = 0.0  # the work in `arrived`
         self.connections = 0
         self.last_report: tuple[float, dict[str, float]] = (-1e9, {})
+        if self.watch is not None:
+            self.watch("start")
 
     def warmth(self, now: float) -> float:
         """The part of its ability that it has by now."""
@@ -192,6 +195,8 @@
         self.state = "dead"
         lost, self.running, self.waiting = [*self.running, *self.waiting], {}, deque()
         self.connections = 0
+        if self.watch is not None:
+            self.watch("die")
         for piece in lost:
             if piece.phase != "dropped":
                 piece.phase = "over"
--- a/merlintally/lab/troubles.py
+++ b/merlintally/lab/troubles.py
@@ -213,16 +213,23 @@
 
 def revive(world: World, node: Any) -> None:
     if not node.alive:
-        node.start()
-        world.agenda.after(0.05, world.front.up, node.number)
+        node.restart(lambda: world.front.up(node.number))
 
 
 @kind
 def gateways_roll(world: World, trouble: Trouble) -> None:
-    """They are restarted one after another within `lasts_s`, each down for half a second."""
+    """They are restarted one after another within `lasts_s`, as planned: told to stop, and half a second
+    after their end started again."""
     chosen = gateways(world, trouble)
     for at, node in enumerate(chosen):
-        world.agenda.after(trouble.lasts_s * at / len(chosen), kill, world, node, 0.5)
+        world.agenda.after(trouble.lasts_s * at / len(chosen), retire, world, node)
+
+
+def retire(world: World, node: Any) -> None:
+    if node.alive:
+        # the front sees that it leaves some time after it was told
+        world.agenda.after(world.trouble_dice.uniform(0.2, 0.4), world.front.leaves, node.number)
+        node.retire(lambda: world.agenda.after(0.5, revive, world, node))
 
 
 @kind
@@ -332,6 +339,17 @@
     world.agenda.after(trouble.lasts_s, over)
 
 
+@kind
+def answers_spoilt(world: World, trouble: Trouble) -> None:
+    """A part of the answers can't be read: what they answer may have run."""
+    world.spoilt_share = trouble.part
+
+    def over() -> None:
+        world.spoilt_share = 0.0
+
+    world.agenda.after(trouble.lasts_s, over)
+
+
 @kind
 def answers_late(world: World, trouble: Trouble) -> None:
     """A part of the servers answers `size` seconds later, without being busier."""
--- a/merlintally/lab/world.py
+++ b/merlintally/lab/world.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
 from merlintally.lab.agenda import Agenda, chance
@@ -25,10 +26,10 @@
 class World:
     """All that is round the edge nodes. `number_of_nodes` nodes are added by whoever runs the day."""
 
-    def __init__(self, day: Day, seed: int, record: Record) -> None:
-        self.day, self.seed = day, seed
-        self.agenda = Agenda(START)
-        self.referee = Referee(day, START, record)
+    def __init__(self, day: Day, seed: int, record: Record, started: float = START) -> None:
+        self.day, self.seed, self.started = day, seed, started
+        self.agenda = Agenda(started)
+        self.referee = Referee(day, started, record)
         self.dice = self.stream("network")
         self.trouble_dice = self.stream("troubles")
         self.stamps = Stamps()
@@ -38,9 +39,12 @@
         self.nodes: list[Node] = []
         self.front: Front
         self.cut_zones: set[int] = set()
-        self.reset_share, self.notes_lost, self.last_server = 0.0, day.notes.lost, 0
+        self.reset_share, self.spoilt_share = 0.0, 0.0
+        self.notes_lost, self.last_server = day.notes.lost, 0
         self.shared: dict[str, dict[str, Any]] = {}  # between the gateways of an oracle
         self.notices: list[str] = []  # troubles that met nothing
+        self.left_out: set[str] = set()  # kinds of trouble that can't be had here
+        self.came: Callable[[Server], None] | None = None  # told of each new server
         speeds = self.stream("servers")
         for _ in range(day.fleet.servers):
             server = self.new_server(0.0, speeds)
@@ -74,6 +78,8 @@
             self.stamps,
         )
         self.servers[server.name] = server
+        if self.came is not None:
+            self.came(server)
         return server
 
     def cut(self, zone: int, other: int) -> bool:
@@ -98,7 +104,7 @@
     def sample(self) -> None:
         """What is out at each server, for plots."""
         held = {one.name: one.held for one in self.servers.values() if one.held}
-        self.referee.out_samples.append((self.agenda.now - START, held))
+        self.referee.out_samples.append((self.agenda.now - self.started, held))
         self.agenda.after(SAMPLE_S, self.sample)
 
     def open(self) -> None:
@@ -107,6 +113,8 @@
         self.front.start()
         self.sample()
         for trouble in self.day.trouble:
+            if trouble.kind in self.left_out:
+                continue
             self.agenda.after(trouble.at_s, begin, self, trouble)
 
     def close(self) -> None:
