--- a/merlintally/lab/figures.py
+++ b/merlintally/lab/figures.py
@@ -77,14 +77,18 @@
 
 
 def customers(referee: Referee, most: int = 6) -> list[dict[str, object]]:
-    """The customers that used most of their ceiling or quota, with their use by second, units."""
+    """Those that used most, half of them under a ceiling where there are such: use by second, units."""
     length = int(max(referee.by_second["offered"], default=0)) + 1
 
-    def telling(key: str) -> tuple[float, str]:
+    def telling(key: str) -> tuple[float, float, str]:
         book = referee.books[key]
-        return -sum(book.by_second.values()) / max(book.customer.rate, 1e-9) - 1000 * (book.least < 0), key
+        return book.least, -sum(book.by_second.values()) / max(book.customer.rate, 1e-9), key
 
-    found = sorted(referee.books, key=telling)[:most]
+    order = sorted(referee.books, key=telling)
+    under = [key for key in order if referee.books[key].ceiling is not None]
+    free = [key for key in order if referee.books[key].ceiling is None]
+    half = max(most // 2, most - len(free))
+    found = under[:half] + free[: most - len(under[:half])]
     return [
         {
             "key": key,
--- a/merlintally/lab/report.py
+++ b/merlintally/lab/report.py
@@ -72,7 +72,15 @@
     mark(axes, result)
     axes.set_xlabel("seconds")
     lines = [*axes.get_legend_handles_labels()[0], *other.get_legend_handles_labels()[0]]
-    axes.legend(lines, [str(line.get_label()) for line in lines], fontsize=7, loc="lower left", ncols=3)
+    axes.legend(
+        lines,
+        [str(line.get_label()) for line in lines],
+        fontsize=7,
+        loc="lower center",
+        ncols=6,
+        bbox_to_anchor=(0.5, 1.0),
+        frameon=False,
+    )
     figure.tight_layout()
     return svg(figure)
 
