--- a/merlintally/lab/days.py
+++ b/merlintally/lab/days.py
@@ -40,6 +40,7 @@
     "counter_split",
     "discovery_late",
     "discovery_silent",
+    "discovery_moved",
     "notes_lost",
     "connections_reset",
     "answers_late",
--- a/merlintally/lab/discovery.py
+++ b/merlintally/lab/discovery.py
@@ -55,9 +55,9 @@
     def listen(self, name: str, hear: Hear) -> None:
         """An edge node has come up: it hears the whole list soon."""
         self.listeners[name] = hear
-        self._whole(name)
+        self.whole(name)
 
-    def _whole(self, name: str) -> None:
+    def whole(self, name: str) -> None:
         wait = self.dice.uniform(*self.form.spread_s) + self.extra
         self.agenda.after(wait, self._tell_whole, name)
 
@@ -73,4 +73,4 @@
     def back(self) -> None:
         self.silent = False
         for name in self.listeners:
-            self._whole(name)
+            self.whole(name)
--- a/merlintally/lab/front.py
+++ b/merlintally/lab/front.py
@@ -85,6 +85,10 @@
     zone: int
     alive: bool
 
+    def moved(self, ends: float) -> None:
+        """Discovery stands elsewhere; its old address ends after some seconds."""
+        raise NotImplementedError
+
     def restart(self, up: Callable[[], None]) -> None:
         """Start again from nothing; `up` is called when it answers."""
         raise NotImplementedError
--- a/merlintally/lab/live/processes.py
+++ b/merlintally/lab/live/processes.py
@@ -15,7 +15,7 @@
 
 from merlintally.lab.days import Day
 from merlintally.lab.front import Node, Try
-from merlintally.lab.live.standins import HOST
+from merlintally.lab.live.standins import HOST, DiscoveryAgent
 from merlintally.load.schedule import array
 from merlintally.load.sending import outcome_of, whole
 
@@ -78,6 +78,7 @@
             "connectTimeoutS": fleet.connect_time_out_s,
             "idleCloseS": fleet.idle_close_s,
         },
+        "report": {"names": ["queue", "inflight", "util"] if fleet.report else []},
         "prices": {"peer": day.notes.price, "waste": day.goal.waste},
         "rules": {
             "drainGraceS": rules.drain_grace_s,
@@ -125,8 +126,7 @@
     def start(self) -> None:
         """Start the process; the front is told when it answers."""
         self.starts += 1
-        path = self.folder / "config.json"
-        path.write_text(json.dumps(self.configuration()))
+        path = self.write()
         environment = {
             "LB_CONFIG": str(path),
             "PATH": os.environ.get("PATH", ""),
@@ -137,6 +137,27 @@
         )
         self.alive, self.stopped = True, False
 
+    def moved(self, ends: float) -> None:
+        """A new agent at a new port, told by SIGHUP; what the old one knew, it knows."""
+        live, old = self.live, self.live.agents[self.number]
+        fresh = live.agents[self.number] = DiscoveryAgent(live, self.name)
+        fresh.index, fresh.entries = old.index, dict(old.entries)
+        live.world.discovery.listeners[self.name] = fresh.hear
+
+        async def move() -> None:
+            await fresh.open()
+            self.write()
+            self._signal(signal.SIGHUP)
+            await asyncio.sleep(ends)
+            old.close()
+
+        live.spawn(move())
+
+    def write(self) -> Path:
+        path = self.folder / "config.json"
+        path.write_text(json.dumps(self.configuration()))
+        return path
+
     def restart(self, up: Callable[[], None]) -> None:
         async def begin() -> None:
             self.start()
--- a/merlintally/lab/live/standins.py
+++ b/merlintally/lab/live/standins.py
@@ -157,10 +157,18 @@
         world.referee.ended(task.trying, task.number, outcome, self.live.pump.tick())
         if outcome == "ok":
             value, use = b"did %d" % task.trying.id, b"cost=%d" % round(first.units)
-            writer.write(b"*3\r\n" + bulk(value) + bulk(use) + b"$-1\r\n")
+            writer.write(b"*3\r\n" + bulk(value) + bulk(use) + self._report())
         else:
             writer.write(b"-BUSY\r\n" if outcome == "full" else b"-ERR failed\r\n")
 
+    def _report(self) -> bytes:
+        """The load report, or null."""
+        told = self.server.report()
+        if told is None:
+            return b"$-1\r\n"
+        rows = (told["waiting"], told["held"], told["busy"])
+        return bulk(b"queue=%d,inflight=%d,util=%.2f" % rows)
+
     def _end(self, task: Task, outcome: str, writer: asyncio.StreamWriter) -> None:
         self.live.world.referee.ended(task.trying, task.number, outcome, self.live.pump.tick())
         reset(writer)
@@ -172,13 +180,20 @@
 
     def __init__(self, live: Live, name: str) -> None:
         self.live, self.name, self.port = live, name, live.free_port()
-        self.index, self.changed = 1, asyncio.Event()
+        self.index, self.changed, self.closed = 1, asyncio.Event(), False
         self.entries: dict[str, tuple[int, Entry]] = {}
         self.listener: asyncio.Server | None = None
 
     async def open(self) -> None:
         self.listener = await self.live.listen(self._serve, self.port)
 
+    def close(self) -> None:
+        """Nothing stands at its address any more."""
+        self.closed = True
+        if self.listener is not None:
+            self.listener.close()
+        self.changed.set()
+
     def hear(self, entries: list[Entry], whole: bool) -> None:
         """The world's discovery tells this edge node's agent."""
         self.index += 1
@@ -216,7 +231,7 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         connection = h11.Connection(h11.SERVER)
         try:
-            while True:
+            while not self.closed:
                 event = connection.next_event()
                 if event is h11.NEED_DATA:
                     connection.receive_data(await reader.read(65536))
--- a/merlintally/lab/nodes.py
+++ b/merlintally/lab/nodes.py
@@ -94,6 +94,9 @@
                 server.connections -= sum(process == server.started for _, process in idle)
         self.taken, self.gateway = {}, None
 
+    def moved(self, ends: float) -> None:
+        self.world.discovery.whole(self.name)
+
     def restart(self, up: Callable[[], None]) -> None:
         self.start()
         self.world.agenda.after(READY_S, up)
--- a/merlintally/lab/troubles.py
+++ b/merlintally/lab/troubles.py
@@ -317,6 +317,14 @@
     world.agenda.after(trouble.lasts_s, world.discovery.back)
 
 
+@kind
+def discovery_moved(world: World, trouble: Trouble) -> None:
+    """It stands at another address, which a new configuration tells (SIGHUP); the old one ends after
+    `lasts_s`. Simulated edge nodes hear the whole list anew."""
+    for node in [one for one in world.nodes if one.alive]:
+        node.moved(trouble.lasts_s)
+
+
 @kind
 def notes_lost(world: World, trouble: Trouble) -> None:
     """A share `size` of the notes is lost."""
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -4,6 +4,8 @@
 
 import io
 import json
+import signal
+import socket
 import subprocess
 import sys
 from pathlib import Path
@@ -143,3 +145,34 @@
             " 'merlintally.lab', 'merlintally.cli', 'merlintally.operators') if name in sys.modules])")
     done = subprocess.run([sys.executable, "-c", text], capture_output=True, text=True, cwd=ROOT, check=True)
     assert done.stdout.strip() == "[]"
+
+
+def test_a_served_node_takes_up_its_operators_file_and_keeps_the_old_one_where_the_new_is_faulty(
+        tmp_path: Path) -> None:
+    given = json.loads((ROOT / "example" / "config.json").read_text())
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        given["listen"] = f"127.0.0.1:{sock.getsockname()[1]}"
+    config, operators = tmp_path / "config.json", tmp_path / "operators.toml"
+    config.write_text(json.dumps(given))
+    operators.write_text("[log]\nformat = 'json'\n")
+    words = ["serve", "--config", str(config), "--operators", str(operators)]
+    with subprocess.Popen([sys.executable, "-m", "merlintally", *words], stderr=subprocess.PIPE, text=True,
+                          cwd=ROOT) as node:
+        try:
+            assert node.stderr is not None
+            # nothing stands where discovery should be: it says so, as JSON
+            assert json.loads(node.stderr.readline())["event"] == "discovery.broken"
+            operators.write_text("[log]\nformat = 'xml'\n")
+            node.send_signal(signal.SIGHUP)
+            row = json.loads(node.stderr.readline())
+            assert row["event"] == "operators.faulty" and "log.format" in row["detail"]
+            operators.write_text("[log]\nformat = 'logfmt'\n")
+            config.write_text("{")
+            node.send_signal(signal.SIGHUP)
+            assert json.loads(node.stderr.readline())["event"] == "configuration.faulty"
+            node.send_signal(signal.SIGHUP)
+            assert "event=configuration.faulty" in node.stderr.readline()
+        finally:
+            node.terminate()
+        assert node.wait(10) == 0
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -347,7 +347,8 @@
     from merlintally.lab.live.play import play_real
     day = structs.replace(read_day("release").at_size(3, 3.0), trouble=(
         Trouble("gateways_die", 1.0, 0.3, part=0.34), Trouble("counter_silent", 1.0, 0.5),
-        Trouble("servers_die", 1.5, 0.5, part=0.5), Trouble("answers_spoilt", 0.5, 2.0, part=0.05)))
+        Trouble("servers_die", 1.5, 0.5, part=0.5), Trouble("answers_spoilt", 0.5, 2.0, part=0.05),
+        Trouble("discovery_moved", 0.8, 0.5), Trouble("gateways_hang", 2.0, 0.4, part=0.34)))
     found = play_real(day, 1)
     assert found.timing == "real" and found.figures["service"] > 0.4 and found.broken == {}
     assert not [line for line in found.notices if "by itself" in line or "no client" in line]
@@ -357,3 +358,12 @@
     from merlintally.lab.live.play import play_real
     with pytest.raises(Faults, match="gateways"):
         play_real(read_day("calm").at_size(100), 1)
+
+
+def test_two_days_side_by_side_do_not_meet() -> None:
+    text = ("from merlintally.lab.days import read_day; from merlintally.lab.live.play import play_real;"
+            "r = play_real(read_day('calm').at_size(2, 2.0), 1); print(r.broken, [n for n in r.notices if "
+            "'no client' in n or 'by itself' in n])")
+    both = [subprocess.Popen([sys.executable, "-c", text], stdout=subprocess.PIPE, text=True, cwd=ROOT)
+            for _ in range(2)]
+    assert [one.communicate(timeout=60)[0].strip() for one in both] == ["{} []"] * 2
