--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -38,14 +38,15 @@
     node = Standin(say)
 
     async def scene() -> Tallies | Faults:
+        found: Tallies | Faults
         async with anyio.create_task_group() as group:
             group.start_soon(node.run)
             try:
-                return await Sender(*node.address, profile).run()
+                found = await Sender(*node.address, profile).run()
             except Faults as wrong:
-                return wrong
-            finally:
-                group.cancel_scope.cancel()
+                found = wrong
+            group.cancel_scope.cancel()
+        return found
 
     began = time.monotonic()
     found = anyio.run(scene)
