Customers' sets are parts of the fleet, as in the grown deployments: the loss of hundreds shows

Cause: customers' sets were two to four edge nodes at any size. Now a plan states the part of all edge nodes that a set holds, and under a ceiling no more than can each hold two of the largest submissions.

--- a/merlintally/lab/days.py
+++ b/merlintally/lab/days.py
@@ -151,6 +151,9 @@
     price: Annotated[Above, Meta(description="factor on the gain")] = 1.0
     beyond_gain: Annotated[Share, Meta(description="part of the gain earned beyond the quota")] = 0.0
     beyond_cost: Annotated[Least, Meta(description="part of the gain lost by what is sent beyond it")] = 1.0
+    spread: Annotated[
+        Range, Meta(description="edge nodes of a customer's set, parts of all; two at least")
+    ] = (0.4, 0.9)
     open_limit: Annotated[int, Meta(ge=0, description="executions out at once at most; 0: no limit")] = 0
     ceiling: Annotated[Least, Meta(description="hard ceiling, times the quota; 0: none")] = 0.0
     ceiling_slack: Annotated[Least, Meta(description="part of the ceiling's burst that may be passed")] = 0.1
@@ -159,7 +162,13 @@
         """Units that may be used at once: some of the largest submissions at least."""
         return max(self.units_per_s * self.burst_s, largest * (4.0 if self.ceiling else 2.0))
 
+    def most_spread(self, largest: int) -> float:
+        """Edge nodes of a set at most: under a ceiling, as many as can each hold two of the largest."""
+        return max(2.0, self.burst(largest) * self.ceiling / (2 * largest)) if self.ceiling else float("inf")
+
     def faults(self) -> Iterator[tuple[str, str]]:
+        if not 0 <= self.spread[0] <= self.spread[1] <= 1:
+            yield "spread", "is no range from 0 to 1"
         if 0 < self.ceiling < 1:
             yield "ceiling", "is below the quota: 1 or more, or 0 for none"
 
@@ -178,7 +187,6 @@
     spike_x: Annotated[Range, Meta(description="what they ask then, times the quota")] = (2.0, 8.0)
     spike_s: Annotated[Range, Meta(description="length of such a spell, seconds")] = (0.5, 4.0)
     spike_every_s: Annotated[Range, Meta(description="time between spells, seconds")] = (10.0, 25.0)
-    spread: Annotated[tuple[int, int], Meta(description="edge nodes of a customer's set")] = (2, 4)
     skew: Annotated[Range, Meta(description="unevenness of the set's weights (deviation of their log)")] = (
         0.3,
         1.5,
@@ -315,9 +323,6 @@
                 yield f"trouble.{at}.at_s", "is after the day's end"
             if one.kind.startswith("zone") and one.zone >= self.fleet.zones:
                 yield f"trouble.{at}.zone", f"there are {self.fleet.zones} zones, counted from 0"
-        low, high = self.traffic.spread
-        if not 1 <= low <= high:
-            yield "traffic.spread", "is no range from 1 up"
 
     def at_size(self, gateways: int, length_s: float | None = None) -> Day:
         """The same day with another number of edge nodes. Servers, traffic and the counter's capacity grow
--- a/merlintally/lab/front.py
+++ b/merlintally/lab/front.py
@@ -151,7 +151,8 @@
     def customer(self, key: str, form: PlanForm, use: float, kind: str, dice: random.Random) -> Customer:
         traffic, size = self.day.traffic, len(self.nodes)
         rate, burst = form.units_per_s, form.burst(traffic.units)
-        spread = min(size, dice.randint(*traffic.spread))
+        part = max(2.0, size * dice.uniform(*form.spread))
+        spread = min(size, round(min(part, form.most_spread(traffic.units))))
         made = Customer(key, form, rate, burst, dice.randrange(size), spread, use, kind)
         self.reweigh(made, dice)
         return made
