--- a/merlintally/lab/days.py
+++ b/merlintally/lab/days.py
@@ -325,8 +325,8 @@
                 yield f"trouble.{at}.zone", f"there are {self.fleet.zones} zones, counted from 0"
 
     def at_size(self, gateways: int, length_s: float | None = None) -> Day:
-        """The same day with another number of edge nodes. Servers, traffic and the counter's capacity grow
-        with the three-quarter power of it, so that in a larger fleet each edge node sees less."""
+        """The same day with another number of edge nodes. Servers and traffic grow with the three-quarter
+        power of it, so that in a larger fleet each edge node sees less; the counter stays as it is."""
         factor = (gateways / self.fleet.gateways) ** 0.75
         servers = max(2, round(self.fleet.servers * factor))
         rate = self.traffic.submissions_per_s * servers / self.fleet.servers
@@ -336,7 +336,6 @@
             length_s=self.length_s * shorter,
             fleet=structs.replace(self.fleet, gateways=gateways, servers=servers),
             traffic=structs.replace(self.traffic, submissions_per_s=rate),
-            counter=structs.replace(self.counter, calls_per_s=self.counter.calls_per_s * factor),
             trouble=tuple(
                 structs.replace(one, at_s=one.at_s * shorter, lasts_s=one.lasts_s * shorter)
                 for one in self.trouble
