What was sent beyond an empty store is taken off the count again

Seen in the laboratory (calm, 200 edge nodes, customers' sets of 80 to 180): from the seventh second on 8% of all tries were refused with fresh news of the counter while the customer's true store was half full or more. Followed one customer's count: 60 units had been told by gateways that had let in without asking, the level stood 38 units over a burst of 12, and all refused for 15 s while the true store filled to the brim. Excluded: corrections of counts below nothing (none in that time), claims refused (each given back once), epochs. At fault: Customer.news, which takes all that was added as lacking from the store, though what is sent beyond the quota takes nothing from it (Customer.hear, for notes, knows that).

Change: units drawn whole and told while the answer shows a store below nothing are told back, as far as the store is below; claims that wait are not part of it. Two tests that fail without it.

--- a/merlintally/choice.py
+++ b/merlintally/choice.py
@@ -64,6 +64,7 @@
         self.heard, self.at, self.seen, self.sure = -KEEP, now, now, False
         self.mark, self.drawn = int(self.phase / KEEP * 2**32), 0.0  # in notes, and not yet told in one
         self.asked: float | None = None  # amount of the add that is on its way
+        self.fresh, self.told = 0.0, 0.0  # units of whole submissions: not yet in an add, and in the last one
         self.out, self.name, self.total = 0, 0, 0.0  # the count last added to, what it was then; 0: unknown
         self.waiting: list[Submission] = []  # for the answer that is on its way
         self.requests, self.units = Ring(FOLD, FOLDS), Ring(FOLD, FOLDS)
@@ -105,6 +106,7 @@
     def draw(self, units: float, now: float) -> None:
         self.seen, self.granted = now, max(0.0, self.granted - units)
         self.settle(units)
+        self.fresh += units
         self.requests.add(now, 1.0)
         self.units.add(now, units)
 
@@ -112,6 +114,12 @@
         self.store, self.spare = min(self.plan.burst, self.store - difference), self.spare - difference
         self.untold, self.drawn = self.untold + difference, self.drawn + difference
 
+    def took_nothing(self, units: float) -> None:
+        """Guards against a debt that is none: what was sent while the store was empty took nothing from it.
+        Added by many, it had all refuse for as long as the store would have taken to fill by as much."""
+        if units > 0:
+            self.store, self.spare, self.untold = self.store + units, self.spare + units, self.untold - units
+
     def hear(self, drawn: float, now: float) -> None:
         """Another gateway's draws. What the store did not hold was beyond the quota, and took nothing."""
         self.advance(now)
@@ -339,9 +347,12 @@
             self.pace *= PACES[0] if outcome != "timed_out" or elapsed > self.crowded else 1
             customer.untold += added if outcome != "timed_out" else 0.0
         waiting, customer.waiting = customer.waiting, []
+        sent = customer.told - sum(one.units for one in waiting if one.drawn)
         for handle in waiting:
             if not handle.closed:
                 self._decide(now, handle)
+        if outcome == "ok" and not customer.sure:
+            customer.took_nothing(min(sent, -customer.store))
         wrong = customer.untold < 0 or customer.untold > RIGHT / 2 * customer.plan.burst
         self._tell(now, customer, outcome == "ok" and wrong)
         self.pull(now)
@@ -453,6 +464,7 @@
         if name != customer.name:
             customer.name, customer.total = name, 0.0
         self.asking[name], customer.asked, customer.untold = customer, customer.untold, 0.0
+        customer.told, customer.fresh = customer.fresh, 0.0
         self.results.adds.append((name, customer.asked, KEEP))
 
     def finish(self, now: float, handle: Submission) -> None:
--- a/merlintally/lab/nodes.py
+++ b/merlintally/lab/nodes.py
@@ -240,8 +240,10 @@
     def _begin(self, number: int, server_name: str, time_out: float, now: float) -> None:
         world = self.world
         agenda, taken, server = world.agenda, self.taken.get(number), world.servers[server_name]
-        if taken is None:  # already over: the referee has to see it all the same
-            world.referee.sent(self.name, Try(number, world.nobody, now, now), 0, server, now)
+        if taken is None:
+            # over already; one whose client has gone meanwhile is dropped here, as on sockets
+            if world.referee.was_answered(number):
+                world.referee.sent(self.name, Try(number, world.nobody, now, now), 0, server, now)
             return
         until = min(taken.trying.ends, now + time_out) if time_out else taken.trying.ends
         execution = Execution(taken, taken.sent, server, now, until, self.life)
--- a/merlintally/lab/referee.py
+++ b/merlintally/lab/referee.py
@@ -333,6 +333,11 @@
         if sub is not None and sub.final and not sub.left:
             self.breach(1, now, f"{number} was {sub.final}, and then {kind}")
 
+    def was_answered(self, number: int) -> bool:
+        """Whether a submission has had a final answer."""
+        sub = self.closed.get(number)
+        return sub is not None and sub.final not in ("", "left")
+
     def sweep(self, now: float) -> None:
         """Forget what can't be heard of any more."""
         self.closed = {
--- a/tests/test_throttler.py
+++ b/tests/test_throttler.py
@@ -3,6 +3,7 @@
 from dataclasses import replace
 from typing import Any
 
+import pytest
 from helpers import PLAN, customer, gateway, take
 
 from merlintally.choice import Gateway
@@ -232,3 +233,24 @@
     server.ratio, server.cost = 1.0, {"c": 1.0}
     at._limit(100.0)
     assert at.customers["c"].limiting == float("inf")
+
+
+def test_what_was_sent_while_the_store_was_empty_leaves_no_debt() -> None:
+    at = gateway()
+    one = at.customers["c"]
+    one.draw(4.0, 100.0)  # sent on without asking
+    at._call(100.0, one)
+    name, passed = one.epoch(100.0)
+    at.counted(100.0, name, "ok", PLAN.rate * passed + PLAN.burst + 4.0, 0.001)  # others had used all of it
+    assert one.store == pytest.approx(0.0) and at.results.adds[-1][1] == pytest.approx(-4.0)
+
+
+def test_a_claim_that_is_refused_is_given_back_once() -> None:
+    at = gateway()
+    one = at.customers["c"]
+    one.heard = 90.0
+    handle = take(at, units=2.0)
+    name, passed = one.epoch(100.0)
+    assert not handle.closed and at.results.adds[-1][1] == 2.0
+    at.counted(100.0, name, "ok", PLAN.rate * passed + PLAN.burst + 2.0, 0.001)
+    assert handle.closed and [amount for _, amount, _ in at.results.adds] == [2.0, pytest.approx(-2.0)]
