--- a/merlintally/lab/live/processes.py
+++ b/merlintally/lab/live/processes.py
@@ -272,6 +272,7 @@
         wire, command = self.command(trying)
         live.tries[wire], live.node_of[wire] = trying, self.name
         writer: asyncio.StreamWriter | None = None
+        life, reached = self.starts, True
         try:
             reused = bool(self.idle)
             if reused:
@@ -289,9 +290,10 @@
                 if not got and reused and self.alive:
                     # the node closed an idle connection just then: once more, on a new one
                     writer.close()
-                    reused = False
+                    reused = reached = False
                     reader, writer = await asyncio.open_connection(HOST, self.port)
                     writer.write(command)
+                    reached = True
                 elif not got:
                     raise ConnectionResetError
                 held += got
@@ -311,7 +313,10 @@
                 front.failed(trying, None)
         except OSError:
             live.pump.tick()
-            front.failed(trying, None)  # refused, or reset by a node that died
+            if not reached or not self.alive or self.starts != life:
+                # it never came there, or its node was killed: nobody's fault
+                referee.left(trying, True)
+            front.failed(trying, None)
         finally:
             self.open.pop(trying.id, None)
             if writer is not None:
