--- a/merlintally/cli/lab.py
+++ b/merlintally/cli/lab.py
@@ -13,6 +13,7 @@
 
 from merlintally.cli.front import Lazy, told
 from merlintally.forms import Faults
+from merlintally.lab.baselines import BASELINES
 from merlintally.lab.days import read_day, shipped
 from merlintally.lab.play import Result, play
 from merlintally.operators import LabPart, read_operators
@@ -84,6 +85,8 @@
         "run": ("merlintally.cli.lab:run_days", "Play builds x days x seeds over several processes."),
         "compare": ("merlintally.cli.lab:compare_builds", "Compare two builds on the same days and seeds."),
         "report": ("merlintally.cli.lab:report", "Write one HTML page with plots about results."),
+        "why": ("merlintally.cli.lab:why", "Account for a day's loss, by cause."),
+        "follow": ("merlintally.cli.lab:follow_one", "Follow one submission through records or logs."),
         "list": ("merlintally.cli.lab:list_days", "List the days that come with the program."),
     }
 
@@ -304,6 +307,76 @@
     return 0
 
 
+@click.command("why")
+@click.argument("day")
+@click.option("--seed", type=int, default=1, show_default=True, help="Seed of all chance in the day.")
+@click.option("--gateways", type=click.IntRange(1, 2000), help="Another size; servers and traffic follow.")
+@click.option(
+    "--build", "build_name", default="here", show_default=True, help="The module, or a revision of it."
+)
+@length_option
+@json_option
+def why(
+    day: str, seed: int, gateways: int | None, build_name: str, seconds: float | None, as_json: bool
+) -> int:
+    """Play DAY and account for its loss: what was refused with room or sent beyond quotas, by cause.
+
+    A cause is what the gateway went by when it decided; the kind is what was truly the case.
+    """
+    from merlintally.lab.account import Watch
+    from merlintally.lab.builds import build
+    from merlintally.lab.play import drive
+    from merlintally.lab.record import Record
+    from merlintally.lab.world import simulated
+
+    found = read_day(day)
+    made = build(build_name)
+    if not hasattr(made.choice, "Gateway") or build_name in BASELINES:
+        raise Faults([f"{build_name}: only the module and its revisions can be accounted for"])
+    world = simulated(found.at_size(gateways or found.fleet.gateways, seconds), seed, made, Record())
+    watch = Watch(world, made)
+    try:
+        with bar() as progress:
+            task = progress.add_task(found.name, total=100)
+            drive(world, lambda part: progress.update(task, completed=round(100 * part)))
+    finally:
+        watch.off()
+    rows = watch.account.table()
+    table = Table()
+    for name in ("kind", "plan", "cause", "tries", "units", "of tries", "of worth"):
+        table.add_column(name, justify="left" if name in ("kind", "plan", "cause") else "right")
+    for row in rows:
+        table.add_row(
+            row["kind"],
+            row["plan"],
+            row["cause"],
+            str(row["tries"]),
+            f"{row['units']:.0f}",
+            f"{row['share_of_tries']:.4f}",
+            f"{row['share_of_worth']:.4f}",
+        )
+    if as_json:
+        told(rows, True, ())
+    else:
+        Console().print(table)
+    return BROKEN if world.referee.broken else 0
+
+
+@click.command("follow")
+@click.argument("number")
+@click.argument("files", nargs=-1, required=True, type=click.Path(dir_okay=False, path_type=Path))
+def follow_one(number: str, files: tuple[Path, ...]) -> int:
+    """Follow submission NUMBER through FILES: records of `lab play --record`, or structured logs of nodes.
+
+    Of a record all tries of the same first try are shown, whichever edge nodes they came to.
+    """
+    from merlintally.lab.follow import follow
+
+    for line in follow(list(files), number):
+        click.echo(line)
+    return 0
+
+
 @click.command("list")
 @json_option
 def list_days(as_json: bool) -> int:
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import json
 import subprocess
 import sys
+from collections import Counter
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -12,14 +14,16 @@
 from msgspec import structs
 
 from merlintally.forms import Faults
+from merlintally.lab.account import Watch
 from merlintally.lab.agenda import Agenda, chance
 from merlintally.lab.builds import build
 from merlintally.lab.compare import compare, interval
-from merlintally.lab.counter import Counter
+from merlintally.lab.counter import Counter as SharedCounter
 from merlintally.lab.days import CounterForm, Day, DiscoveryForm, Trouble, load_day, read_day, shipped
 from merlintally.lab.discovery import Discovery, Entry
 from merlintally.lab.experiment import Wanted, run
-from merlintally.lab.play import Result, play
+from merlintally.lab.follow import follow
+from merlintally.lab.play import Result, drive, play
 from merlintally.lab.record import Record
 from merlintally.lab.report import page
 from merlintally.lab.results import ResultsFile
@@ -114,7 +118,7 @@
 
 def test_a_counter_forgets_is_slow_full_empty_and_split() -> None:
     agenda, heard = Agenda(), list[tuple[float, str, float]]()
-    counter = Counter(CounterForm(calls_per_s=10.0, parts=1, line_s=0.15), agenda)
+    counter = SharedCounter(CounterForm(calls_per_s=10.0, parts=1, line_s=0.15), agenda)
 
     def call(gateway: int = 0, amount: float = 1.0, life: float = 5.0) -> None:
         counter.call(gateway, 7, amount, life,
@@ -178,7 +182,6 @@
             before(first)
 
         world.referee.asked = note  # type: ignore[method-assign]
-        from merlintally.lab.play import drive
         drive(world)
         return seen
 
@@ -203,7 +206,6 @@
 
 def test_a_submission_that_is_never_answered_is_lost() -> None:
     world = simulated(SMALL, 1, build("here"), Record())
-    from merlintally.lab.play import drive
     node: Any = world.nodes[0]
     node._answer = lambda *row: None  # its refusals never come out
     drive(world)
@@ -367,3 +369,48 @@
     both = [subprocess.Popen([sys.executable, "-c", text], stdout=subprocess.PIPE, text=True, cwd=ROOT)
             for _ in range(2)]
     assert [one.communicate(timeout=60)[0].strip() for one in both] == ["{} []"] * 2
+
+
+# Where the worth goes.
+
+def test_an_account_tells_the_ceilings_part_from_old_news() -> None:
+    made = build("here")
+    world = simulated(small("greedy", 6.0), 1, made, Record())
+    watch = Watch(world, made)
+    try:
+        drive(world)
+    finally:
+        watch.off()
+    rows = watch.account.table()
+    room = sum(row["tries"] for row in rows if row["kind"] == "with room")
+    assert room == world.referee.counts["with room"]  # the account misses none
+    assert sum(row["units"] for row in rows if row["kind"] == "beyond") == pytest.approx(
+        world.referee.units_beyond, abs=0.5)
+    causes = {row["cause"] for row in rows}
+    assert "unknown" not in causes and "the ceiling's part" in causes
+    assert not any(row["cause"] == "the ceiling's part" and row["plan"] == "small" for row in rows)
+    assert made.choice.Gateway.finish.__name__ == "finish"  # the build has its own calls back
+
+
+def test_a_submission_is_followed_over_all_its_tries(tmp_path: Path) -> None:
+    play(small("calm", 4.0), 1, record=tmp_path / "record")
+    rows = [line.split() for line in (tmp_path / "record").read_text().splitlines()]
+    taken = Counter[str](row[4] for row in rows if row[1] == "taken")
+    key = next(key for key, count in taken.items() if count > 1)
+    number = next(row[3] for row in rows if row[1] == "taken" and row[4] == key)
+    found = follow([tmp_path / "record"], number)
+    assert sum(" taken " in line for line in found) == taken[key] and " asked " in found[0]
+    with pytest.raises(Faults, match="none of the files"):
+        follow([tmp_path / "record"], "999999")
+
+
+def test_an_id_is_followed_through_the_logs_of_two_nodes(tmp_path: Path) -> None:
+    (tmp_path / "n0.log").write_text(
+        "n0: a plain line\n"
+        "ts=2026-01-01T00:00:02Z node=n0 event=submission.answered submission=aa answer=bounced\n"
+        "ts=2026-01-01T00:00:01Z node=n0 event=submission.taken submission=aa customer=c lane=l\n"
+        "ts=2026-01-01T00:00:01Z node=n0 event=submission.taken submission=bb customer=c lane=l\n")
+    row = {"ts": "2026-01-01T00:00:03Z", "node": "n1", "event": "submission.taken", "submission": "aa"}
+    (tmp_path / "n1.log").write_text(json.dumps(row) + "\n{half")
+    assert [line.split()[1:3] for line in follow([tmp_path / "n0.log", tmp_path / "n1.log"], "aa")] == [
+        ["n0", "submission.taken"], ["n0", "submission.answered"], ["n1", "submission.taken"]]
