Read once more: steps of submissions cost nothing unwatched; one way to write RESP2 arrays

Found on reading the whole change: the keeper gathered the fields of four log lines a submission, and looked into each answer, also where nobody follows (the platform); the load tool, the stand-ins and the tests each wrote arrays of bulk strings beside net/resp.py; the stand-in for discovery had a second table of presences.

Change: the steps are guarded where they are told; array stands beside bulk in net/resp.py and all three use it; the stand-in's table is the node's, turned round. Behaviour is as it was.

--- a/merlintally/lab/live/processes.py
+++ b/merlintally/lab/live/processes.py
@@ -16,8 +16,8 @@
 from merlintally.lab.days import Day
 from merlintally.lab.front import Node, Try
 from merlintally.lab.live.standins import HOST, DiscoveryAgent
-from merlintally.load.schedule import array
 from merlintally.load.sending import outcome_of, whole
+from merlintally.net.resp import array
 
 if TYPE_CHECKING:
     from merlintally.lab.live.play import Live
--- a/merlintally/lab/live/standins.py
+++ b/merlintally/lab/live/standins.py
@@ -15,6 +15,8 @@
 from merlintally.lab.discovery import Entry
 from merlintally.lab.front import Try
 from merlintally.lab.servers import Piece, Server
+from merlintally.net.configuration import PRESENCES
+from merlintally.net.resp import bulk
 
 if TYPE_CHECKING:
     from merlintally.lab.live.play import Live
@@ -22,7 +24,7 @@
 HOST = "127.0.0.1"
 RESET = struct.pack("ii", 1, 0)
 SPOILT = b"*3\r\n$x\r\n\xff\x00garbage\r\n"
-STATUS = {"on": "SERVING", "draining": "DRAINING", "gone": "DELETED"}
+STATUS: dict[str, str] = {presence: word for word, presence in PRESENCES.items()}
 
 
 async def words_of(reader: asyncio.StreamReader) -> list[bytes]:
@@ -41,10 +43,6 @@
     return found
 
 
-def bulk(value: bytes) -> bytes:
-    return b"$%d\r\n%b\r\n" % (len(value), value)
-
-
 def reset(writer: asyncio.StreamWriter) -> None:
     """End a connection by a reset."""
     sock = writer.get_extra_info("socket")
--- a/merlintally/load/schedule.py
+++ b/merlintally/load/schedule.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 from merlintally.load.profile import Profile
+from merlintally.net.resp import array
 
 
 @dataclass(frozen=True, slots=True)
@@ -19,15 +20,6 @@
     command: bytes
 
 
-def array(*words: bytes) -> bytes:
-    """A RESP2 array of bulk strings.
-
-    >>> array(b"PING")
-    b'*1\\r\\n$4\\r\\nPING\\r\\n'
-    """
-    return b"*%d\r\n%b" % (len(words), b"".join(b"$%d\r\n%b\r\n" % (len(word), word) for word in words))
-
-
 def schedule(profile: Profile) -> Iterator[Planned]:
     """All submissions in the order in which they are due; the same for the same profile."""
     dice = random.Random(profile.seed)
--- a/merlintally/load/sending.py
+++ b/merlintally/load/sending.py
@@ -13,7 +13,8 @@
 
 from merlintally.forms import Faults
 from merlintally.load.profile import Profile
-from merlintally.load.schedule import Planned, array, schedule
+from merlintally.load.schedule import Planned, schedule
+from merlintally.net.resp import array
 
 HIGHEST_US = 3_600_000_000  # an hour, the longest latency that a histogram holds, microseconds
 OUTCOMES = ("delivered", "bounced", "given up", "silent", "broken", "unsent")
--- a/merlintally/net/keeper.py
+++ b/merlintally/net/keeper.py
@@ -124,7 +124,8 @@
         finally:
             if taken.handle is None:
                 self._answer(taken.number, GIVEN_UP)
-        self._step(taken, "submission.taken", plan=taken.plan, units=taken.units, left_s=taken.ends - now)
+        if self.log.follows:
+            self._step(taken, "submission.taken", plan=taken.plan, units=taken.units, left_s=taken.ends - now)
 
     def left(self, taken: Taken) -> None:
         """Its client has gone away."""
@@ -139,8 +140,9 @@
             return
         execution.over = True
         taken, now = execution.taken, self.clock.now()
-        self._step(taken, "execution.ended", execution=execution.number, outcome=answer.outcome,
-                   after_s=now - execution.began)
+        if self.log.follows:
+            self._step(taken, "execution.ended", execution=execution.number, outcome=answer.outcome,
+                       after_s=now - execution.began)
         taken.out.pop(execution.number, None)
         if answer.value:
             self._pass_on(taken, [answer.value])
@@ -176,10 +178,10 @@
                 self.gateway.finish(now, taken.handle)
 
     def _step(self, taken: Taken, event: str, **fields: object) -> None:
-        """A step of a submission, for those who follow an id over nodes."""
-        if self.log.follows:
-            self.log.say("", event, submission=taken.id.decode(), customer=taken.customer, lane=taken.lane,
-                         **fields)
+        """A step of a submission, for those who follow an id over nodes. Called only where the log follows:
+        what it tells is not worth working out for nobody, several times a submission."""
+        self.log.say("", event, submission=taken.id.decode(), customer=taken.customer, lane=taken.lane,
+                     **fields)
 
     # What the decisions want done.
 
@@ -189,7 +191,8 @@
         execution = Execution(taken, taken.sent, now, until)
         taken.sent += 1
         taken.out[execution.number] = execution
-        self._step(taken, "execution.sent", execution=execution.number, server=server)
+        if self.log.follows:
+            self._step(taken, "execution.sent", execution=execution.number, server=server)
         if not taken.gone and self.fleet.send(server, execution):
             self.timers.at(until, self.expired, execution)
         else:
@@ -215,7 +218,8 @@
     def _pass_on(self, taken: Taken, answer: list[Buffer]) -> None:
         """The final answer of a submission: the first one, and never another."""
         if taken.answer is None and not taken.gone:
-            self._step(taken, "submission.answered", answer=kind_of(answer))
+            if self.log.follows:
+                self._step(taken, "submission.answered", answer=kind_of(answer))
             taken.answer = answer
             taken.client.pass_on()
 
--- a/merlintally/net/resp.py
+++ b/merlintally/net/resp.py
@@ -80,3 +80,12 @@
 
 def bulk(value: bytes) -> bytes:
     return b"$%d\r\n%b\r\n" % (len(value), value)
+
+
+def array(*words: bytes) -> bytes:
+    """An array of bulk strings.
+
+    >>> array(b"PING")
+    b'*1\\r\\n$4\\r\\nPING\\r\\n'
+    """
+    return b"*%d\r\n%b" % (len(words), b"".join(bulk(word) for word in words))
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -19,7 +19,7 @@
 from merlintally.net import Deployment, EdgeNode
 from merlintally.net.configuration import Listed, deployment_of, page
 from merlintally.net.log import Log
-from merlintally.net.resp import bulk
+from merlintally.net.resp import array
 
 PLAN = PlanFacts("plan", 4.0, 8.0, 0, 8.0, 16.0, 1.0, 1.0, 0.0, 1.0)
 IDS = count(1)
@@ -74,10 +74,6 @@
     return replace(found, listen=("127.0.0.1", 0), **changes)
 
 
-def array(*words: bytes) -> bytes:
-    return b"*%d\r\n%b" % (len(words), b"".join(bulk(word) for word in words))
-
-
 def said(name: bytes = b"Q.ASK", terms: bytes = b"c=look,t=plan,d=1500,units=1,spread=1,first=0",
          body: bytes = b"BODY", customer: bytes = b"00000000b4d65521", number: bytes = b"") -> bytes:
     """A submission as a client writes it, each with an id of its own."""
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -17,7 +17,7 @@
 
 import anyio
 import pytest
-from helpers import Scene, Standin, array, known, listing, play, said, told
+from helpers import Scene, Standin, known, listing, play, said, told
 
 from merlintally.choice import Gateway, Submission
 from merlintally.interface import Outcome
@@ -27,7 +27,7 @@
 from merlintally.net.log import Log
 from merlintally.net.node import reread
 from merlintally.net.phases import Phase
-from merlintally.net.resp import array_at, bulk
+from merlintally.net.resp import array, array_at, bulk
 from merlintally.net.sockets import Allowance
 from merlintally.net.taken import Due
 from merlintally.net.timers import Clock
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -10,7 +10,7 @@
 from unittest.mock import Mock
 
 import pytest
-from helpers import array, said, told
+from helpers import said, told
 
 from merlintally.fields import Malformed
 from merlintally.net.configuration import (
@@ -25,7 +25,7 @@
 from merlintally.net.keeper import Keeper
 from merlintally.net.log import Log
 from merlintally.net.phases import Phase, Phases
-from merlintally.net.resp import array_at
+from merlintally.net.resp import array, array_at
 from merlintally.net.servers import answer_at
 from merlintally.net.sockets import Buffer, Stream, gather
 from merlintally.net.taken import Taken
