Read once more: one statement of what nodes are told, one way to end a trouble, dead state out

Found on reading the whole change: the laboratory told simulated nodes their facts in one table and real ones their settings in another; a cold server's limit was worked out twice, by the server and by the referee; ten troubles each wound their own undoing, and three drew a part of something; the front had two calls for one outcome; a simulated node scheduled the end of an execution in four spellings; the command line repeated options, progress bars and the choice of a size; a result took the parts of its record one by one. Several attributes were never read (referee, nodes, servers, stand-ins), and a server's state draining was never set.

--- a/merlintally/cli/lab.py
+++ b/merlintally/cli/lab.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from pathlib import Path
 from typing import Any
 
@@ -19,6 +21,7 @@
 from merlintally.operators import LabPart, read_operators
 
 BROKEN = 3  # exit code
+FILE = click.Path(dir_okay=False, path_type=Path)
 SHOWN = ("G", "service", "worst_window", "worst_plan", "refused_with_room", "units_beyond", "answer_p99_ms")
 
 
@@ -67,16 +70,15 @@
         Console(width=None if Console().is_terminal else 170).print(table_of(results))
 
 
-def bar() -> Progress:
-    console = Console(stderr=True)
-    return Progress(
-        TextColumn("{task.description}"),
-        BarColumn(),
-        MofNCompleteColumn(),
-        TimeElapsedColumn(),
-        console=console,
-        disable=not console.is_terminal,
-    )
+@contextmanager
+def bar(what: str, total: int = 100) -> Iterator[Callable[[float], None]]:
+    """A progress bar on a terminal; gives a call that is told how much of `total` is done."""
+    console, columns = Console(stderr=True), (TextColumn("{task.description}"), BarColumn())
+    with Progress(
+        *columns, MofNCompleteColumn(), TimeElapsedColumn(), console=console, disable=not console.is_terminal
+    ) as progress:
+        task = progress.add_task(what, total=total)
+        yield lambda done: progress.update(task, completed=round(done))
 
 
 class Commands(Lazy):
@@ -103,10 +105,21 @@
 
 operators_option = click.option(
     "--operators",
-    type=click.Path(dir_okay=False, path_type=Path),
+    type=FILE,
     envvar="LB_OPERATORS",
     help="The operators' file, for its section [lab].",
 )
+seed_option = click.option(
+    "--seed", type=int, default=1, show_default=True, help="Seed of all chance in the day."
+)
+size_option = click.option(
+    "--gateways", type=click.IntRange(1, 2000), help="Another size; servers and traffic follow."
+)
+sizes_option = click.option(
+    "--gateways", "sizes", multiple=True, type=click.IntRange(1, 2000), help="May be repeated."
+)
+processes_option = click.option("--processes", type=click.IntRange(1, 256), help="Days side by side.")
+results_option = click.option("--results", type=FILE, help="The results file to go on with.")
 json_option = click.option("--json", "as_json", is_flag=True, help="Print for machines.")
 length_option = click.option(
     "--seconds", type=click.FloatRange(1.5, 3600), help="Length of the day; troubles move with it."
@@ -115,14 +128,14 @@
 
 @click.command("play")
 @click.argument("day")
-@click.option("--seed", type=int, default=1, show_default=True, help="Seed of all chance in the day.")
-@click.option("--gateways", type=click.IntRange(1, 2000), help="Another size; servers and traffic follow.")
+@seed_option
+@size_option
 @click.option("--build", "build_name", default="here", show_default=True, help="The decisions to play.")
 @click.option("--real", is_flag=True, help="In real time: node processes on loopback, few of them.")
-@click.option("--record", type=click.Path(dir_okay=False, path_type=Path), help="Write the record of events.")
+@click.option("--record", type=FILE, help="Write the record of events.")
 @click.option(
     "--results",
-    type=click.Path(dir_okay=False, path_type=Path),
+    type=FILE,
     help="Add the result to this file; else to latest.jsonl in the results folder, written anew.",
 )
 @length_option
@@ -143,22 +156,14 @@
     """Play DAY once. Exit code 3 if a rule was broken."""
     from merlintally.lab.results import ResultsFile
 
-    found = read_day(day)
-    found = found.at_size(gateways or found.fleet.gateways, seconds)
+    found = read_day(day).at_size(gateways, seconds)
     if real:
         from merlintally.lab.live.play import play_real
 
         result = play_real(found, seed)
     else:
-        with bar() as progress:
-            task = progress.add_task(f"{found.name} with {found.fleet.gateways} edge nodes", total=100)
-            result = play(
-                found,
-                seed,
-                build_name,
-                record,
-                progress=lambda part: progress.update(task, completed=round(100 * part)),
-            )
+        with bar(f"{found.name} with {found.fleet.gateways} edge nodes") as progress:
+            result = play(found, seed, build_name, record, progress=lambda part: progress(100 * part))
     path = results
     if path is None:
         path = Path(lab_part(operators).results) / "latest.jsonl"
@@ -176,11 +181,9 @@
     "--build", "builds", multiple=True, default=("here",), show_default=True, help="May be repeated."
 )
 @click.option("--seeds", default=3, show_default=True, type=click.IntRange(1, 1000), help="Seeds 1 to N.")
-@click.option("--gateways", "sizes", multiple=True, type=click.IntRange(1, 2000), help="May be repeated.")
-@click.option("--processes", type=click.IntRange(1, 256), help="Days side by side.")
-@click.option(
-    "--results", type=click.Path(dir_okay=False, path_type=Path), help="The results file to go on with."
-)
+@sizes_option
+@processes_option
+@results_option
 @click.option("--plots", is_flag=True, help="Keep what plots need, too (larger files).")
 @length_option
 @operators_option
@@ -222,9 +225,8 @@
 
     names = tuple(shipped()) if days == ("all",) else days
     tasks = list(wanted(names, builds, tuple(range(1, seeds + 1)), sizes, seconds, plots))
-    with bar() as progress:
-        task = progress.add_task("days", total=len(tasks))
-        return run(tasks, path, processes, lambda _, done: progress.update(task, completed=done))
+    with bar("days", len(tasks)) as progress:
+        return run(tasks, path, processes, lambda _, done: progress(done))
 
 
 @click.command("compare")
@@ -234,11 +236,9 @@
     "--day", "days", multiple=True, default=("calm",), show_default=True, help="May be repeated, or all."
 )
 @click.option("--seeds", default=5, show_default=True, type=click.IntRange(1, 1000), help="Seeds 1 to N.")
-@click.option("--gateways", "sizes", multiple=True, type=click.IntRange(1, 2000), help="May be repeated.")
-@click.option("--processes", type=click.IntRange(1, 256), help="Days side by side.")
-@click.option(
-    "--results", type=click.Path(dir_okay=False, path_type=Path), help="The results file to go on with."
-)
+@sizes_option
+@processes_option
+@results_option
 @length_option
 @operators_option
 @json_option
@@ -283,10 +283,8 @@
 
 
 @click.command("report")
-@click.argument("files", nargs=-1, type=click.Path(dir_okay=False, path_type=Path))
-@click.option(
-    "--to", type=click.Path(dir_okay=False, path_type=Path), help="The page; else beside the first file."
-)
+@click.argument("files", nargs=-1, type=FILE)
+@click.option("--to", type=FILE, help="The page; else beside the first file.")
 @click.option("--compare", "pair", nargs=2, metavar="FIRST SECOND", help="Say how two builds differ, too.")
 @operators_option
 def report(
@@ -309,8 +307,8 @@
 
 @click.command("why")
 @click.argument("day")
-@click.option("--seed", type=int, default=1, show_default=True, help="Seed of all chance in the day.")
-@click.option("--gateways", type=click.IntRange(1, 2000), help="Another size; servers and traffic follow.")
+@seed_option
+@size_option
 @click.option(
     "--build", "build_name", default="here", show_default=True, help="The module, or a revision of it."
 )
@@ -329,42 +327,36 @@
     from merlintally.lab.record import Record
     from merlintally.lab.world import simulated
 
-    found = read_day(day)
-    made = build(build_name)
-    if not hasattr(made.choice, "Gateway") or build_name in BASELINES:
+    found = read_day(day).at_size(gateways, seconds)
+    if build_name in BASELINES:
         raise Faults([f"{build_name}: only the module and its revisions can be accounted for"])
-    world = simulated(found.at_size(gateways or found.fleet.gateways, seconds), seed, made, Record())
+    made = build(build_name)
+    world = simulated(found, seed, made, Record())
     watch = Watch(world, made)
     try:
-        with bar() as progress:
-            task = progress.add_task(found.name, total=100)
-            drive(world, lambda part: progress.update(task, completed=round(100 * part)))
+        with bar(found.name) as progress:
+            drive(world, lambda part: progress(100 * part))
     finally:
         watch.off()
     rows = watch.account.table()
-    table = Table()
-    for name in ("kind", "plan", "cause", "tries", "units", "of tries", "of worth"):
-        table.add_column(name, justify="left" if name in ("kind", "plan", "cause") else "right")
-    for row in rows:
-        table.add_row(
-            row["kind"],
-            row["plan"],
-            row["cause"],
-            str(row["tries"]),
-            f"{row['units']:.0f}",
-            f"{row['share_of_tries']:.4f}",
-            f"{row['share_of_worth']:.4f}",
-        )
     if as_json:
         told(rows, True, ())
     else:
+        table = Table()
+        for name in ("kind", "plan", "cause", "tries", "units", "of tries", "of worth"):
+            table.add_column(name, justify="left" if name in ("kind", "plan", "cause") else "right")
+        for row in rows:
+            shares = (f"{row['share_of_tries']:.4f}", f"{row['share_of_worth']:.4f}")
+            table.add_row(
+                row["kind"], row["plan"], row["cause"], str(row["tries"]), f"{row['units']:.0f}", *shares
+            )
         Console().print(table)
     return BROKEN if world.referee.broken else 0
 
 
 @click.command("follow")
 @click.argument("number")
-@click.argument("files", nargs=-1, required=True, type=click.Path(dir_okay=False, path_type=Path))
+@click.argument("files", nargs=-1, required=True, type=FILE)
 def follow_one(number: str, files: tuple[Path, ...]) -> int:
     """Follow submission NUMBER through FILES: records of `lab play --record`, or structured logs of nodes.
 
--- a/merlintally/lab/baselines.py
+++ b/merlintally/lab/baselines.py
@@ -268,8 +268,8 @@
     def __init__(self, name: str) -> None:
         super().__init__(name, "merlintally", f"baseline-{name}")
 
-    def gateway(self, day: Day, number: int, zone: int, seed: int, now: float, world: World) -> Any:
-        facts, kind = self.facts(day, number, zone), self.kinds[self.name]
+    def gateway(self, day: Day, number: int, seed: int, now: float, world: World) -> Any:
+        facts, kind = self.facts(day, number), self.kinds[self.name]
         return kind(facts, seed, now, world) if kind is Oracle else kind(facts, seed, now)
 
 
--- a/merlintally/lab/builds.py
+++ b/merlintally/lab/builds.py
@@ -16,9 +16,12 @@
 from types import ModuleType
 from typing import TYPE_CHECKING, Any
 
+from merlintally.facts import start_facts
 from merlintally.forms import Faults, nearest
 from merlintally.lab.days import Day
 from merlintally.lab.discovery import Entry
+from merlintally.lab.told import settings_of
+from merlintally.net.configuration import flat
 
 if TYPE_CHECKING:
     from merlintally.lab.world import World
@@ -33,62 +36,19 @@
         self.name, self.digest = name, digest
         self.interface: Any = importlib.import_module(f"{package}.interface")
         self.choice: Any = importlib.import_module(f"{package}.choice")
-        self.facts_rows = {row.name for row in dataclasses.fields(self.interface.StartFacts)}
 
-    def facts(self, day: Day, number: int, zone: int) -> Any:
+    def facts(self, day: Day, number: int) -> Any:
         """What an edge node of the day is told when it starts."""
-        rules, fleet = day.rules, day.fleet
-        lanes = tuple(
-            self._row(
-                "LaneFacts",
-                {
-                    "name": one.name,
-                    "quoted_time": one.quoted_time_s,
-                    "hard_limit": one.hard_limit_s,
-                    "gain": one.gain,
-                    "late_gain": one.late_gain,
-                    "effect": one.effect,
-                    "discard_group": one.group,
-                    "remembered": one.remembered_s,
-                },
-            )
-            for one in day.lane
-        )
-        plans = tuple(self._row("PlanFacts", plan_rows(day, at)) for at in range(len(day.plan)))
-        return self._row(
-            "StartFacts",
-            {
-                "number": number,
-                "gateways": fleet.gateways,
-                "zone": f"z{zone}",
-                "lanes": lanes,
-                "plans": plans,
-                "largest_units": float(day.traffic.units),
-                "settles": True,
-                "may_count": True,
-                "count_time_out": day.counter.time_out_s,
-                "count_price": day.counter.price,
-                "may_note": day.notes.allowed,
-                "note_price": day.notes.price,
-                "may_withdraw": rules.withdraw,
-                "parallel": rules.parallel,
-                "most_executions": rules.executions,
-                "retry_after_limit": rules.return_limit_s,
-                "cross_zone_price": 0.0,
-                "waste_price": day.goal.waste,
-                "drain_grace": rules.drain_grace_s,
-                "cold_share": rules.cold_share,
-                "warm_within": rules.warm_s,
-                "tip_multiple": rules.tip_multiple,
-                "tip_window": rules.tip_window_s,
-            },
-        )
+        told = start_facts(flat(settings_of(day, number)))
+        lanes = tuple(self._row("LaneFacts", one) for one in told.lanes)
+        plans = tuple(self._row("PlanFacts", one) for one in told.plans)
+        return self._row("StartFacts", dataclasses.replace(told, lanes=lanes, plans=plans))
 
-    def _row(self, kind: str, rows: dict[str, Any]) -> Any:
-        """A row of facts; an earlier revision takes those that it knows."""
+    def _row(self, kind: str, row: Any) -> Any:
+        """A row of facts as this build has it: an earlier revision takes those that it knows."""
         made = getattr(self.interface, kind)
-        known = {row.name for row in dataclasses.fields(made)}
-        return made(**{name: value for name, value in rows.items() if name in known})
+        known = [one.name for one in dataclasses.fields(made) if hasattr(row, one.name)]
+        return made(**{name: getattr(row, name) for name in known})
 
     def server(self, entry: Entry) -> Any:
         name, presence, zone, cell, started = entry
@@ -96,26 +56,9 @@
             server=name, presence=presence, zone=f"z{zone}", cell=cell, started=started, size=1.0, machine="m"
         )
 
-    def gateway(self, day: Day, number: int, zone: int, seed: int, now: float, world: World) -> Any:
+    def gateway(self, day: Day, number: int, seed: int, now: float, world: World) -> Any:
         """The decisions of one edge node, from nothing."""
-        return self.choice.Gateway(self.facts(day, number, zone), seed, now)
-
-
-def plan_rows(day: Day, at: int) -> dict[str, Any]:
-    """The facts of a plan: its figures hold for each of its customers."""
-    one = day.plan[at]
-    return {
-        "name": one.name,
-        "rate": one.units_per_s,
-        "burst": one.burst(day.traffic.units),
-        "open_limit": one.open_limit,
-        "ceiling_rate": one.units_per_s * one.ceiling,
-        "ceiling_burst": one.burst(day.traffic.units) * one.ceiling,
-        "ceiling_slack": one.ceiling_slack,
-        "price": one.price,
-        "beyond_gain": one.beyond_gain,
-        "beyond_cost": one.beyond_cost,
-    }
+        return self.choice.Gateway(self.facts(day, number), seed, now)
 
 
 class _Loader(importlib.abc.Loader):
@@ -153,10 +96,10 @@
     return done.stdout if done.returncode == 0 else None
 
 
-def _loaded(name: str, read: Callable[[str], str | None]) -> Build:
+def _loaded(name: str, origin: str, read: Callable[[str], str | None]) -> Build:
     text = read("choice.py") or ""
     digest = blake2b(text.encode(), digest_size=6).hexdigest()
-    package = f"merlintally_build_{blake2b(name.encode(), digest_size=4).hexdigest()}_{digest}"
+    package = f"merlintally_build_{blake2b(origin.encode(), digest_size=4).hexdigest()}_{digest}"
     if package not in sys.modules:
         sys.meta_path.insert(0, _Finder(package, read))
     return Build(name, package, digest)
@@ -177,12 +120,14 @@
         revision = _git("rev-parse", "--verify", "--quiet", f"{name[4:]}^{{commit}}")
         if revision is None or _git("cat-file", "-e", f"{revision.strip()}:merlintally/choice.py") is None:
             raise Faults([f"{name}: no such revision, or it has no merlintally/choice.py"])
-        return _loaded(name, lambda path: _git("show", f"{revision.strip()}:merlintally/{path}"))
+        return _loaded(name, name, lambda path: _git("show", f"{revision.strip()}:merlintally/{path}"))
     path = Path(name)
     if path.is_dir() and (path / "choice.py").is_file():
-        return _loaded(str(path.resolve()), lambda part: _text(path / part) or _text(own / part))
+        return _loaded(name, str(path.resolve()), lambda part: _text(path / part) or _text(own / part))
     if path.is_file():
-        return _loaded(str(path.resolve()), lambda part: _text(path if part == "choice.py" else own / part))
+        return _loaded(
+            name, str(path.resolve()), lambda part: _text(path if part == "choice.py" else own / part)
+        )
     raise Faults(
         [
             f"{name}: there is no such build{nearest(name, ['here', *BASELINES])}; "
--- a/merlintally/lab/days.py
+++ b/merlintally/lab/days.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterator
 from importlib import resources
 from pathlib import Path
-from typing import Annotated, Any, Literal
+from typing import Annotated, Any, Literal, get_args
 
 from msgspec import Meta, Struct, structs
 
@@ -51,17 +51,7 @@
     "weights_shift",
     "clients_leave",
 ]
-PARTS = {
-    "servers_die",
-    "servers_slow",
-    "servers_fail",
-    "servers_silent",
-    "servers_replaced",
-    "servers_ageing",
-    "servers_leave",
-    "gateways_die",
-    "gateways_roll",
-    "gateways_hang",
+PARTS = {kind for kind in get_args(TroubleKind) if kind.startswith(("servers_", "gateways_"))} | {
     "weights_shift",
     "clients_leave",
     "connections_reset",
@@ -324,9 +314,10 @@
             if one.kind.startswith("zone") and one.zone >= self.fleet.zones:
                 yield f"trouble.{at}.zone", f"there are {self.fleet.zones} zones, counted from 0"
 
-    def at_size(self, gateways: int, length_s: float | None = None) -> Day:
+    def at_size(self, gateways: int | None = None, length_s: float | None = None) -> Day:
         """The same day with another number of edge nodes. Servers and traffic grow with the three-quarter
         power of it, so that in a larger fleet each edge node sees less; the counter stays as it is."""
+        gateways = gateways or self.fleet.gateways
         factor = (gateways / self.fleet.gateways) ** 0.75
         servers = max(2, round(self.fleet.servers * factor))
         rate = self.traffic.submissions_per_s * servers / self.fleet.servers
--- a/merlintally/lab/experiment.py
+++ b/merlintally/lab/experiment.py
@@ -4,7 +4,6 @@
 from __future__ import annotations
 
 import multiprocessing
-import multiprocessing.pool
 from collections.abc import Callable, Iterator
 from pathlib import Path
 
@@ -24,14 +23,13 @@
 
     day: str
     seed: int
-    gateways: int
+    gateways: int | None  # None: as the day has it
     build: str
     length_s: float | None = None
     whole: bool = False
 
     def made(self) -> Day:
-        found = read_day(self.day)
-        return found.at_size(self.gateways or found.fleet.gateways, self.length_s)
+        return read_day(self.day).at_size(self.gateways, self.length_s)
 
 
 def wanted(
@@ -42,9 +40,9 @@
     length_s: float | None,
     whole: bool,
 ) -> Iterator[Wanted]:
-    """All that is to be played: the builds of one day and seed stand together. Size 0 is the day's own."""
+    """All that is to be played: the builds of one day and seed stand together."""
     for day in days:
-        for size in sizes or (0,):
+        for size in sizes or (None,):
             for seed in seeds:
                 for name in builds:
                     yield Wanted(day, seed, size, name, length_s, whole)
--- a/merlintally/lab/front.py
+++ b/merlintally/lab/front.py
@@ -265,7 +265,7 @@
         trying = Try(self.last_id, first, now, now + patience)
         node = self._pick(first.customer)
         if node is None:
-            self.agenda.after(0.001, self.failed, trying, None)
+            self.agenda.after(0.001, self.failed, trying)
             return
         reach = self.dice.uniform(*self.day.network.client_s)
         self.agenda.after(reach, self._deliver, node, trying)
@@ -290,7 +290,7 @@
 
     def _deliver(self, node: Node, trying: Try) -> None:
         if not node.alive:  # refused: the front has not noticed yet
-            self.failed(trying, None)
+            self.failed(trying)
         else:
             node.submit(trying)
 
@@ -302,7 +302,7 @@
         if node.alive:
             node.leave(trying)
         if not early:
-            self._again(trying, None)
+            self._again(trying)
 
     def served(self, trying: Try) -> None:
         """The whole answer is there."""
@@ -310,17 +310,13 @@
             trying.over = True
             self.referee.delivered(trying, self.agenda.now)
 
-    def bounced(self, trying: Try, wait: float) -> None:
+    def failed(self, trying: Try, wait: float = 0.0) -> None:
+        """It was bounced, given up or broken; `wait` is what the edge node said of when to come back."""
         if not trying.over:
             trying.over = True
             self._again(trying, wait)
 
-    def failed(self, trying: Try, wait: float | None) -> None:
-        if not trying.over:
-            trying.over = True
-            self._again(trying, wait)
-
-    def _again(self, trying: Try, wait: float | None) -> None:
+    def _again(self, trying: Try, wait: float = 0.0) -> None:
         """A client may try once more, at once or after a while."""
         first, clients = trying.first, self.day.clients
         if first.left <= 0 or first.settled:
--- a/merlintally/lab/live/play.py
+++ b/merlintally/lab/live/play.py
@@ -31,15 +31,14 @@
     """One day in real time."""
 
     def __init__(self, day: Day, seed: int, folder: Path) -> None:
-        self.folder, self.record = folder, Record()
-        self.world = World(day, seed, self.record, started=time.time())
+        self.folder = folder
+        self.world = World(day, seed, Record(), started=time.time())
         self.pump = Pump(self.world.agenda)
         self.tries: dict[bytes, Any] = {}
         self.node_of: dict[bytes, str] = {}
         self.sent: dict[bytes, int] = {}
         self.strange = 0  # commands at app servers that no client sent
         self.tasks: set[asyncio.Task[Any]] = set()
-        self.ports: list[socket.socket] = []
         self.servers: dict[str, AppServer] = {}
         self.agents: list[DiscoveryAgent] = []
         self.counters: list[CounterPort] = []
@@ -154,14 +153,4 @@
         live.world.notices.append(f"{live.strange} commands at app servers were no client's")
     if live.pump.late > 0.05:
         live.world.notices.append(f"the emulator ran up to {live.pump.late:.3f} s late: read times with care")
-    digest = build("here").digest
-    return result_of(
-        live.world,
-        "here",
-        digest,
-        live.record.close(),
-        live.record.lines,
-        time.perf_counter() - began,
-        True,
-        "real",
-    )
+    return result_of(live.world, build("here"), time.perf_counter() - began, True, "real")
--- a/merlintally/lab/live/processes.py
+++ b/merlintally/lab/live/processes.py
@@ -13,83 +13,18 @@
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
-from merlintally.lab.days import Day
 from merlintally.lab.front import Node, Try
 from merlintally.lab.live.standins import HOST, DiscoveryAgent
+from merlintally.lab.told import settings_of
 from merlintally.load.sending import outcome_of, whole
 from merlintally.net.resp import array
 
 if TYPE_CHECKING:
     from merlintally.lab.live.play import Live
 
-REPEATS = {"harmless": "repeatable", "stamped": "by_key", "one-shot": "once"}
 READY_S = 10.0  # for a process to answer PING
 
 
-def settings_of(day: Day, number: int) -> dict[str, Any]:
-    """The day as a node's configuration has it."""
-    rules, fleet = day.rules, day.fleet
-    return {
-        "slotNo": number,
-        "balancers": fleet.gateways,
-        "az": f"z{number % fleet.zones}",
-        "classes": [
-            {
-                "name": one.name,
-                "aimS": one.quoted_time_s,
-                "deadlineS": one.hard_limit_s,
-                "importance": one.gain,
-                "lateWorth": one.late_gain,
-                "repeat": REPEATS[one.effect],
-                "keyScope": one.group,
-                "windowS": one.remembered_s,
-            }
-            for one in day.lane
-        ],
-        "tariffs": [
-            {
-                "name": one.name,
-                "unitsPerS": one.units_per_s,
-                "mostAtOnce": one.burst(day.traffic.units),
-                "atOnce": one.open_limit,
-                "capRate": one.units_per_s * one.ceiling,
-                "neverOverDepth": one.burst(day.traffic.units) * one.ceiling,
-                "tolerance": one.ceiling_slack,
-                "valueFactor": one.price,
-                "overWorth": one.beyond_gain,
-                "beyondCosts": one.beyond_cost,
-            }
-            for one in day.plan
-        ],
-        "familyInfo": {
-            "mayCount": True,
-            "countLimitS": day.counter.time_out_s,
-            "callPrice": day.counter.price,
-            "largest": day.traffic.units,
-            "postPaid": True,
-        },
-        "limits": {
-            "maxAttempts": rules.executions,
-            "mayCancel": rules.withdraw,
-            "parallelTries": rules.parallel,
-            "peers": day.notes.allowed,
-            "retryAfter": rules.return_limit_s > 0,
-            "maxRetryAfterS": rules.return_limit_s,
-            "connectTimeoutS": fleet.connect_time_out_s,
-            "idleCloseS": fleet.idle_close_s,
-        },
-        "report": {"names": ["queue", "inflight", "util"] if fleet.report else []},
-        "prices": {"peer": day.notes.price, "waste": day.goal.waste},
-        "rules": {
-            "drainGraceS": rules.drain_grace_s,
-            "coldFrom": rules.cold_share,
-            "warmWithinS": rules.warm_s,
-            "tipMultiple": rules.tip_multiple,
-            "fallS": rules.tip_window_s,
-        },
-    }
-
-
 class RealNode(Node):
     """One node process and its clients' connections."""
 
@@ -103,8 +38,7 @@
         self.folder = live.folder / self.name
         self.folder.mkdir()
         self.log = (self.folder / "log").open("ab")
-        self.starts, self.known = 0, list[dict[str, Any]]()
-        self.stopped = False
+        self.starts, self.stopped = 0, False
 
     def configuration(self) -> dict[str, Any]:
         live, agent = self.live, self.live.agents[self.number]
@@ -306,17 +240,15 @@
             writer = None
             if kind == "delivered":
                 front.served(trying)
-            elif kind == "bounced":
-                words = held.split()
-                front.bounced(trying, int(words[1]) / 1000 if len(words) > 1 else 0.0)
             else:
-                front.failed(trying, None)
+                words = held.split() if kind == "bounced" else []
+                front.failed(trying, int(words[1]) / 1000 if len(words) > 1 else 0.0)
         except OSError:
             live.pump.tick()
             if not reached or not self.alive or self.starts != life:
                 # it never came there, or its node was killed: nobody's fault
                 referee.left(trying, True)
-            front.failed(trying, None)
+            front.failed(trying)
         finally:
             self.open.pop(trying.id, None)
             if writer is not None:
--- a/merlintally/lab/live/standins.py
+++ b/merlintally/lab/live/standins.py
@@ -57,7 +57,6 @@
     def __init__(self, trying: Try, number: int, server: Server) -> None:
         self.trying, self.number, self.server = trying, number, server
         self.outcome: asyncio.Future[str] = asyncio.get_running_loop().create_future()
-        self.piece: Piece | None = None
 
     def done(self, outcome: str, _: Piece) -> None:
         if not self.outcome.done():
@@ -128,10 +127,10 @@
         world.referee.sent(node, trying, number, self.server, now)
         world.referee.reached(trying, number, self.server, now)
         task, first = Task(trying, number, self.server), trying.first
-        piece = task.piece = Piece(first.lane, first.work, first.key, trying.id, task.done)
+        piece = Piece(first.lane, first.work, first.key, trying.id, task.done)
         self.server.arrive(piece)
         if world.reset_share and world.dice.random() < world.reset_share:
-            return self._end(task, "broken", writer)  # it breaks under its execution, which goes on
+            return self._break(task, writer)  # it breaks under its execution, which goes on
         gone: asyncio.Future[bytes] = asyncio.ensure_future(reader.read(1))
         both: list[asyncio.Future[Any]] = [task.outcome, gone]
         await asyncio.wait(both, return_when=asyncio.FIRST_COMPLETED)
@@ -148,10 +147,10 @@
     def _answer(self, task: Task, writer: asyncio.StreamWriter) -> None:
         outcome, world, first = task.outcome.result(), self.live.world, task.trying.first
         if outcome in ("broken", "unreachable"):
-            return self._end(task, "broken", writer)
+            return self._break(task, writer)
         if outcome == "ok" and world.spoilt_share and world.dice.random() < world.spoilt_share:
             writer.write(SPOILT)
-            return self._end(task, "broken", writer)
+            return self._break(task, writer)
         world.referee.ended(task.trying, task.number, outcome, self.live.pump.tick())
         if outcome == "ok":
             value, use = b"did %d" % task.trying.id, b"cost=%d" % round(first.units)
@@ -167,8 +166,9 @@
         rows = (told["waiting"], told["held"], told["busy"])
         return bulk(b"queue=%d,inflight=%d,util=%.2f" % rows)
 
-    def _end(self, task: Task, outcome: str, writer: asyncio.StreamWriter) -> None:
-        self.live.world.referee.ended(task.trying, task.number, outcome, self.live.pump.tick())
+    def _break(self, task: Task, writer: asyncio.StreamWriter) -> None:
+        """Its connection is reset under it."""
+        self.live.world.referee.ended(task.trying, task.number, "broken", self.live.pump.tick())
         reset(writer)
         raise ConnectionResetError
 
--- a/merlintally/lab/nodes.py
+++ b/merlintally/lab/nodes.py
@@ -36,13 +36,11 @@
 class Execution:
     """One execution, and the connection that it has to itself."""
 
-    __slots__ = ("taken", "number", "server", "process", "began", "until", "piece", "written", "over", "life")
+    __slots__ = ("taken", "number", "server", "process", "began", "piece", "written", "over", "life")
 
-    def __init__(
-        self, taken: Taken, number: int, server: Server, began: float, until: float, life: int
-    ) -> None:
+    def __init__(self, taken: Taken, number: int, server: Server, began: float, life: int) -> None:
         self.taken, self.number, self.server, self.process = taken, number, server, server.started
-        self.began, self.until, self.life = began, until, life
+        self.began, self.life = began, life
         self.piece: Piece | None = None
         self.written = self.over = False
 
@@ -53,7 +51,7 @@
     def __init__(self, world: World, number: int, build: Build) -> None:
         self.world, self.number, self.build = world, number, build
         self.name, self.zone = f"n{number}", number % world.day.fleet.zones
-        self.alive, self.hung, self.life, self.lives = False, False, 0, 0
+        self.alive, self.hung, self.life = False, False, 0
         self.known: list[Entry] = []
         self.held_back: deque[tuple[int, Callable[..., None], tuple[Any, ...]]] = deque()
         self.gateway: Any = None
@@ -70,7 +68,7 @@
         self.heard_at, self.heard_left = world.agenda.now, world.day.notes.heard_per_s
         self.held_back.clear()
         seed = self.dice.getrandbits(64)
-        self.gateway = self.build.gateway(world.day, self.number, self.zone, seed, world.agenda.now, world)
+        self.gateway = self.build.gateway(world.day, self.number, seed, world.agenda.now, world)
         if self.known:
             world.referee.told(self.name, self.known, True, world.agenda.now)
             self.gateway.roster(world.agenda.now, [self.build.server(one) for one in self.known], True)
@@ -87,7 +85,7 @@
             for execution in taken.out.values():
                 self._hang_up(execution)
             if not taken.answered:
-                world.agenda.after(self.reach(), world.front.failed, taken.trying, None)
+                world.agenda.after(self.reach(), world.front.failed, taken.trying)
         for name, idle in self.by_server.items():
             server = world.servers.get(name)
             if server is not None:
@@ -231,7 +229,7 @@
             execution = taken.out.get(execution_number) if taken is not None else None
             if execution is not None:
                 self._hang_up(execution)
-                agenda.after(0.0, self.event, life, self._ended, execution, "withdrawn", None)
+                self._end_after(0.0, execution, "withdrawn")
         for name, amount, keep in results.adds:
             self._add(name, amount, keep)
         for note in results.notes:
@@ -246,7 +244,7 @@
                 world.referee.sent(self.name, Try(number, world.nobody, now, now), 0, server, now)
             return
         until = min(taken.trying.ends, now + time_out) if time_out else taken.trying.ends
-        execution = Execution(taken, taken.sent, server, now, until, self.life)
+        execution = Execution(taken, taken.sent, server, now, self.life)
         taken.sent += 1
         taken.out[execution.number] = execution
         world.referee.sent(self.name, taken.trying, execution.number, server, now)
@@ -258,17 +256,9 @@
             execution.written = True
             return
         if not reached or server.state == "silent":
-            agenda.after(
-                world.day.fleet.connect_time_out_s,
-                self.event,
-                self.life,
-                self._ended,
-                execution,
-                "unreachable",
-                None,
-            )
+            self._end_after(world.day.fleet.connect_time_out_s, execution, "unreachable")
         elif server.state == "dead" or server.connections >= world.day.fleet.connections:
-            agenda.after(2 * way, self.event, self.life, self._ended, execution, "unreachable", None)
+            self._end_after(2 * way, execution, "unreachable")
         else:
             server.connections += 1
             handshake = 2 * way + world.day.fleet.handshake_work_s / server.speed
@@ -315,20 +305,18 @@
         world, server = self.world, execution.server
         if execution.over or world.cut(self.zone, server.zone):
             return
-        world.agenda.after(
-            self.way(server.zone),
-            self.event,
-            execution.life,
-            self._ended,
-            execution,
-            outcome,
-            server.report() if outcome in ("ok", "error") else None,
-        )
+        report = server.report() if outcome in ("ok", "error") else None
+        self._end_after(self.way(server.zone), execution, outcome, report)
+
+    def _end_after(
+        self, delay: float, execution: Execution, outcome: str, report: dict[str, float] | None = None
+    ) -> None:
+        self.world.agenda.after(delay, self.event, execution.life, self._ended, execution, outcome, report)
 
     def _expired(self, execution: Execution) -> None:
         if not execution.over:
             self._hang_up(execution)
-            self._ended(execution, "timed_out" if execution.written else "unreachable", None)
+            self._ended(execution, "timed_out" if execution.written else "unreachable")
 
     def _hang_up(self, execution: Execution) -> None:
         """Close its connection: what the server then does with the work is the day's to say."""
@@ -342,7 +330,7 @@
         if server.started == execution.process and server.state != "dead":
             server.connections = max(0, server.connections - 1)
 
-    def _ended(self, execution: Execution, outcome: str, report: dict[str, float] | None) -> None:
+    def _ended(self, execution: Execution, outcome: str, report: dict[str, float] | None = None) -> None:
         """The decisions are told; the first good answer is the submission's."""
         if execution.over:
             return
@@ -383,10 +371,7 @@
         if taken.answered:
             return
         taken.answered = True
-        if kind == "bounced":
-            world.agenda.after(self.reach(), world.front.bounced, taken.trying, wait)
-        else:
-            world.agenda.after(self.reach(), world.front.failed, taken.trying, None)
+        world.agenda.after(self.reach(), world.front.failed, taken.trying, wait)
         self._forget(taken)
 
     def _forget(self, taken: Taken) -> None:
--- a/merlintally/lab/play.py
+++ b/merlintally/lab/play.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from merlintally.lab.builds import build
+from merlintally.lab.builds import Build, build
 from merlintally.lab.days import Day
 from merlintally.lab.figures import customers, figures, series
 from merlintally.lab.record import Record
@@ -78,40 +78,30 @@
     progress: Callable[[float], None] | None = None,
 ) -> Result:
     """Play one day with one build; `whole` keeps what plots need. Same arguments, same record."""
-    log = Record(record)
     made = build(build_name)
     began = time.perf_counter()
-    world = simulated(day, seed, made, log)
+    world = simulated(day, seed, made, Record(record))
     drive(world, progress)
-    return result_of(
-        world, build_name, made.digest, log.close(), log.lines, time.perf_counter() - began, whole
-    )
+    return result_of(world, made, time.perf_counter() - began, whole)
 
 
-def result_of(
-    world: World,
-    name: str,
-    digest: str,
-    record: str,
-    lines: int,
-    wall: float,
-    whole: bool,
-    timing: str = "simulated",
-) -> Result:
+def result_of(world: World, made: Build, wall: float, whole: bool, timing: str = "simulated") -> Result:
+    """What came of a day that is over; its record is closed."""
     referee, day = world.referee, world.day
+    digest = referee.record.close()
     return Result(
         version=RESULT_VERSION,
         day=day.name,
         seed=world.seed,
         gateways=day.fleet.gateways,
         servers=day.fleet.servers,
-        build=name,
-        build_digest=digest,
+        build=made.name,
+        build_digest=made.digest,
         figures={key: round(value, 6) for key, value in figures(referee).items()},
         broken={str(rule): count for rule, count in sorted(referee.broken.items())},
         breaches=[str(one) for one in referee.breaches],
-        record_digest=record,
-        record_lines=lines,
+        record_digest=digest,
+        record_lines=referee.record.lines,
         wall_s=round(wall, 3),
         peak_mb=round(resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024, 1),
         notices=world.notices,
--- a/merlintally/lab/referee.py
+++ b/merlintally/lab/referee.py
@@ -94,14 +94,11 @@
         self.closed: dict[int, Submission] = {}  # answered, not yet beyond their hard limit
         self.presence: dict[str, dict[str, tuple[str, float]]] = defaultdict(dict)  # node -> server
         self.cold: dict[str, tuple[float, deque[tuple[float, float]]]] = {}
-        self.stamps: dict[str, list[tuple[float, Server]]] = defaultdict(list)
         self.breaches: list[Breach] = []
         self.broken: Tally[int] = Tally()
         self.counts: Tally[str] = Tally()
         self.by_second: dict[str, dict[int, float]] = defaultdict(lambda: defaultdict(float))
         self.by_plan: dict[str, list[float]] = {one.name: [0.0, 0.0] for one in day.plan}  # offered, earned
-        self.earned_at: dict[int, float] = defaultdict(float)  # by the second in which it was asked
-        self.firsts: set[int] = set()
         self.answer_times: list[float] = []
         self.first_sends: list[float] = []
         self.work_sent = self.work_served = self.work_asked = 0.0
@@ -269,11 +266,7 @@
         window.append((now, work))
         while window[0][0] < now - rules.tip_window_s:
             window.popleft()
-        part = rules.cold_share + (1 - rules.cold_share) * age / rules.warm_s
-        ability = self.day.fleet.cores * server.speed * part
-        lanes = self.day.lane  # two mean pieces: nobody can foresee the lumps in which work comes
-        lumps = 2 * sum(one.share * sum(one.work_s) / 2 for one in lanes) / sum(one.share for one in lanes)
-        sent, most = sum(one for _, one in window), rules.tip_multiple * ability * rules.tip_window_s + lumps
+        sent, most = sum(one for _, one in window), server.bears(now)
         if sent > most + 1e-9:
             self.breach(
                 4,
--- a/merlintally/lab/servers.py
+++ b/merlintally/lab/servers.py
@@ -10,21 +10,21 @@
 from merlintally.lab.agenda import Agenda
 from merlintally.lab.days import Day, LaneForm
 
-State = Literal["up", "draining", "dead", "silent"]
+State = Literal["up", "dead", "silent"]
 
 
 class Piece:
     """One execution at a server, of the try numbered `number`. `done` is called once, with the outcome,
     unless the server falls silent."""
 
-    __slots__ = ("lane", "work", "key", "number", "done", "phase", "began", "repeat")
+    __slots__ = ("lane", "work", "key", "number", "done", "phase", "repeat")
 
     def __init__(
         self, lane: LaneForm, work: float, key: str, number: int, done: Callable[[str, Piece], None]
     ) -> None:
         self.lane, self.work, self.key, self.number, self.done = lane, work, key, number, done
         self.phase = "on the way"  # then waiting, running, over, dropped
-        self.began, self.repeat = 0.0, False
+        self.repeat = False
 
 
 class Stamps:
@@ -98,9 +98,13 @@
             return 1.0
         return rules.cold_share + (1 - rules.cold_share) * age / rules.warm_s
 
-    def ability(self, now: float) -> float:
-        """Core seconds of work that it can do a second."""
-        return self.day.fleet.cores * self.speed * self.warmth(now) / self.slow
+    def bears(self, now: float) -> float:
+        """Core seconds that a cold server can be sent within the stated window before it falls over: the
+        stated multiple of its ability, and two mean pieces, as work comes in lumps that nobody foresees."""
+        rules, lanes = self.day.rules, self.day.lane
+        ability = self.day.fleet.cores * self.speed * self.warmth(now)
+        lumps = 2 * sum(one.share * sum(one.work_s) / 2 for one in lanes) / sum(one.share for one in lanes)
+        return rules.tip_multiple * ability * rules.tip_window_s + lumps
 
     @property
     def held(self) -> int:
@@ -111,13 +115,13 @@
         now = self.agenda.now
         if piece.phase == "dropped" or self.state == "silent":
             return
-        if self.state in ("dead", "draining") or len(self.waiting) >= self.room:
+        if self.state == "dead" or len(self.waiting) >= self.room:
             piece.phase = "over"
             piece.done("full" if self.state != "dead" else "unreachable", piece)
             return
         if self.started > 0 and now - self.started < self.day.rules.warm_s:
             self._weigh(now, piece.work)
-            if self.state == "dead":
+            if self.fell:
                 piece.phase = "over"
                 piece.done("broken", piece)
                 return
@@ -128,29 +132,20 @@
 
     def _weigh(self, now: float, work: float) -> None:
         """A cold server that is sent more than the stated multiple of its ability falls over, for good."""
-        rules = self.day.rules
         self.arrived.append((now, work))
         self.lately += work
-        while self.arrived[0][0] < now - rules.tip_window_s:
+        while self.arrived[0][0] < now - self.day.rules.tip_window_s:
             self.lately -= self.arrived.popleft()[1]
-        # two mean pieces of slack, since work comes in lumps that nobody can foresee
-        allowed = (
-            rules.tip_multiple * self.ability(now) * self.slow * rules.tip_window_s + 2 * self._mean_work()
-        )
-        if self.lately > allowed:
+        if self.lately > self.bears(now):
             self.fell = True
             self.die()
 
-    def _mean_work(self) -> float:
-        lanes = self.day.lane
-        return sum(one.share * sum(one.work_s) / 2 for one in lanes) / sum(one.share for one in lanes)
-
     def _begin(self, now: float) -> None:
         while self.waiting and len(self.running) < self.places:
             piece = self.waiting.popleft()
             if piece.phase == "dropped":
                 continue
-            piece.phase, piece.began = "running", now
+            piece.phase = "running"
             self.running[piece] = None
             if piece.lane.effect == "stamped":
                 piece.repeat = self.stamps.begin(now, piece, self)
--- a/merlintally/lab/troubles.py
+++ b/merlintally/lab/troubles.py
@@ -4,7 +4,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, TypeVar
 
 from merlintally.lab.days import Trouble
 from merlintally.lab.servers import Server
@@ -12,6 +12,7 @@
 if TYPE_CHECKING:
     from merlintally.lab.world import World
 
+T = TypeVar("T")
 Kind = Callable[["World", Trouble], None]
 KINDS: dict[str, Kind] = {}
 
@@ -28,6 +29,35 @@
     return call
 
 
+def part_of(world: World, trouble: Trouble, rows: list[T]) -> list[T]:
+    """The trouble's part of what there is, drawn by chance; at least one."""
+    return world.trouble_dice.sample(rows, max(1, round(trouble.part * len(rows))))
+
+
+def scaled(world: World, trouble: Trouble, things: list[Any], name: str) -> None:
+    """A figure of each of them is `size` times as large, for the trouble's time."""
+    for one in things:
+        setattr(one, name, getattr(one, name) * trouble.size)
+
+    def over() -> None:
+        for one in things:
+            setattr(one, name, getattr(one, name) / trouble.size)
+
+    world.agenda.after(trouble.lasts_s, over)
+
+
+def raised(world: World, trouble: Trouble, things: list[Any], name: str) -> None:
+    """A figure of each of them is larger by `size`, for the trouble's time."""
+    for one in things:
+        setattr(one, name, getattr(one, name) + trouble.size)
+
+    def over() -> None:
+        for one in things:
+            setattr(one, name, getattr(one, name) - trouble.size)
+
+    world.agenda.after(trouble.lasts_s, over)
+
+
 def some(world: World, trouble: Trouble) -> list[Server]:
     """The servers that a trouble befalls: those it names, or a part of those that are up; at least one."""
     up = world.up_servers()
@@ -39,7 +69,7 @@
     if not up:
         world.notices.append(f"{trouble.kind}: no server is up")
         return []
-    return world.trouble_dice.sample(up, max(1, round(trouble.part * len(up))))
+    return part_of(world, trouble, up)
 
 
 def gateways(world: World, trouble: Trouble) -> list[Any]:
@@ -48,7 +78,7 @@
     if not up:
         world.notices.append(f"{trouble.kind}: no edge node is up")
         return []
-    return world.trouble_dice.sample(up, max(1, round(trouble.part * len(up))))
+    return part_of(world, trouble, up)
 
 
 def restart(world: World, server: Server) -> None:
@@ -91,15 +121,7 @@
 @kind
 def servers_slow(world: World, trouble: Trouble) -> None:
     """They take `size` times as long."""
-    chosen = some(world, trouble)
-    for server in chosen:
-        server.slow *= trouble.size
-
-    def over() -> None:
-        for server in chosen:
-            server.slow /= trouble.size
-
-    world.agenda.after(trouble.lasts_s, over)
+    scaled(world, trouble, some(world, trouble), "slow")
 
 
 @kind
@@ -127,12 +149,12 @@
 def servers_fail(world: World, trouble: Trouble) -> None:
     """A share `size` of what they do fails, and quickly."""
     chosen = some(world, trouble)
-    before = [(one, one.errors, one.slow) for one in chosen]
+    before = [(one, one.errors) for one in chosen]
     for server in chosen:
         server.errors, server.slow = max(server.errors, min(1.0, trouble.size)), server.slow * 0.2
 
     def over() -> None:
-        for server, errors, _ in before:
+        for server, errors in before:
             server.errors, server.slow = errors, server.slow / 0.2
 
     world.agenda.after(trouble.lasts_s, over)
@@ -246,30 +268,21 @@
 @kind
 def counter_slow(world: World, trouble: Trouble) -> None:
     """Calls take `size` times as long."""
-    world.counter.slow *= trouble.size
-
-    def over() -> None:
-        world.counter.slow /= trouble.size
-
-    world.agenda.after(trouble.lasts_s, over)
+    scaled(world, trouble, [world.counter], "slow")
 
 
 @kind
 def counter_silent(world: World, trouble: Trouble) -> None:
     """It answers nothing, and has its numbers when it is back."""
     world.counter.mode = "silent"
-    world.agenda.after(trouble.lasts_s, _well, world)
+    world.agenda.after(trouble.lasts_s, setattr, world.counter, "mode", "well")
 
 
 @kind
 def counter_refusing(world: World, trouble: Trouble) -> None:
     """It turns every call away."""
     world.counter.mode = "refusing"
-    world.agenda.after(trouble.lasts_s, _well, world)
-
-
-def _well(world: World) -> None:
-    world.counter.mode = "well"
+    world.agenda.after(trouble.lasts_s, setattr, world.counter, "mode", "well")
 
 
 @kind
@@ -303,12 +316,7 @@
 @kind
 def discovery_late(world: World, trouble: Trouble) -> None:
     """Lists come `size` seconds later, and so out of order at the end."""
-    world.discovery.extra += trouble.size
-
-    def over() -> None:
-        world.discovery.extra -= trouble.size
-
-    world.agenda.after(trouble.lasts_s, over)
+    raised(world, trouble, [world.discovery], "extra")
 
 
 @kind
@@ -328,48 +336,28 @@
 @kind
 def notes_lost(world: World, trouble: Trouble) -> None:
     """A share `size` of the notes is lost."""
-    before, world.notes_lost = world.notes_lost, min(1.0, trouble.size)
-
-    def over() -> None:
-        world.notes_lost = before
-
-    world.agenda.after(trouble.lasts_s, over)
+    world.agenda.after(trouble.lasts_s, setattr, world, "notes_lost", world.notes_lost)
+    world.notes_lost = min(1.0, trouble.size)
 
 
 @kind
 def connections_reset(world: World, trouble: Trouble) -> None:
     """A part of the connections breaks under its execution, which may go on."""
     world.reset_share = trouble.part
-
-    def over() -> None:
-        world.reset_share = 0.0
-
-    world.agenda.after(trouble.lasts_s, over)
+    world.agenda.after(trouble.lasts_s, setattr, world, "reset_share", 0.0)
 
 
 @kind
 def answers_spoilt(world: World, trouble: Trouble) -> None:
     """A part of the answers can't be read: what they answer may have run."""
     world.spoilt_share = trouble.part
-
-    def over() -> None:
-        world.spoilt_share = 0.0
-
-    world.agenda.after(trouble.lasts_s, over)
+    world.agenda.after(trouble.lasts_s, setattr, world, "spoilt_share", 0.0)
 
 
 @kind
 def answers_late(world: World, trouble: Trouble) -> None:
     """A part of the servers answers `size` seconds later, without being busier."""
-    chosen = some(world, trouble)
-    for server in chosen:
-        server.late += trouble.size
-
-    def over() -> None:
-        for server in chosen:
-            server.late -= trouble.size
-
-    world.agenda.after(trouble.lasts_s, over)
+    raised(world, trouble, some(world, trouble), "late")
 
 
 # Customers.
@@ -378,12 +366,7 @@
 @kind
 def traffic_burst(world: World, trouble: Trouble) -> None:
     """All ask `size` times as much."""
-    world.front.factor *= trouble.size
-
-    def over() -> None:
-        world.front.factor /= trouble.size
-
-    world.agenda.after(trouble.lasts_s, over)
+    scaled(world, trouble, [world.front], "factor")
 
 
 @kind
@@ -402,18 +385,12 @@
 @kind
 def weights_shift(world: World, trouble: Trouble) -> None:
     """A part of the customers moves to other edge nodes of its set at once."""
-    front = world.front
-    chosen = front.customers
-    for customer in world.trouble_dice.sample(chosen, max(1, round(trouble.part * len(chosen)))):
-        front.reweigh(customer, world.trouble_dice)
+    for customer in part_of(world, trouble, world.front.customers):
+        world.front.reweigh(customer, world.trouble_dice)
 
 
 @kind
 def clients_leave(world: World, trouble: Trouble) -> None:
     """A part of the tries is left early."""
-    before, world.front.impatient = world.front.impatient, trouble.part
-
-    def over() -> None:
-        world.front.impatient = before
-
-    world.agenda.after(trouble.lasts_s, over)
+    world.agenda.after(trouble.lasts_s, setattr, world.front, "impatient", world.front.impatient)
+    world.front.impatient = trouble.part
--- a/merlintally/lab/world.py
+++ b/merlintally/lab/world.py
@@ -24,7 +24,7 @@
 
 
 class World:
-    """All that is round the edge nodes. `number_of_nodes` nodes are added by whoever runs the day."""
+    """All that is round the edge nodes. Whoever runs the day adds the nodes."""
 
     def __init__(self, day: Day, seed: int, record: Record, started: float = START) -> None:
         self.day, self.seed, self.started = day, seed, started
