--- a/merlintally/choice.py
+++ b/merlintally/choice.py
@@ -21,6 +21,7 @@
 FOLD, FOLDS, FIT = 0.4, 5, 0.25  # seconds a bucket of the smoothers, how many, and seconds between all sums
 SOFT, TELL = 2.0, 0.2  # total quota over reserved where more earns; part of the store all may leave untold
 HEAR, STALE = 0.3, 2.0  # seconds for which the counter's answer is news; unseen, until one is not fitted
+FIRST_GUESS = 10  # answers for which the guess of a lane's answer time counts
 KEEP = 60.0  # seconds of an epoch: a count is kept by name for as long
 RIGHT = 1.0  # bursts that a count may lie below nothing drawn until it is put right
 PACE, CROWDED = 300.0, 0.5  # counter calls a second of all gateways at first; time-outs from which it is slow
@@ -45,13 +46,20 @@
     def __init__(self, facts: LaneFacts) -> None:
         self.quoted_time, self.gain, self.late_gain = facts.quoted_time, facts.gain, facts.late_gain
         self.effect, self.group, self.remembered = facts.effect, facts.discard_group, facts.remembered
-        self.mean, self.floor, self.answers = facts.quoted_time / 6, facts.quoted_time / 6, 0
+        self.mean, self.floor, self.answers = facts.quoted_time / 6, facts.quoted_time / 6, FIRST_GUESS
+        self.size = 1.0  # mean units
 
-    def learn(self, elapsed: float) -> None:
+    def learn(self, elapsed: float, units: float) -> None:
+        """Guards against a floor made of the few answers that come first, which are the short ones."""
         self.answers += 1  # the floor follows slowly: a slow spell must not become the floor
         self.mean += (elapsed - self.mean) / min(self.answers, 40)
+        self.size += (units - self.size) / min(self.answers - FIRST_GUESS, 40)
         self.floor += (self.mean - self.floor) * (1 if self.answers < 40 or self.mean < self.floor else 5e-4)
 
+    def relative(self, elapsed: float, units: float) -> float:
+        """An answer time in floors. Guards against large pieces that look like slow servers."""
+        return elapsed / self.floor * self.size / max(units, 0.01)
+
 
 class Customer:
     """The throttler's sums for one customer, as far as this gateway can know them."""
@@ -176,7 +184,7 @@
 class AppServer:
     def __init__(self, facts: ServerFacts, first: float) -> None:
         self.name, self.zone, self.cell, self.first_places = facts.server, facts.zone, facts.cell, first
-        self.out: dict[tuple[int, int], tuple[float, Lane]] = {}
+        self.out: dict[tuple[int, int], tuple[float, Lane, float]] = {}
         self.renew(facts)
 
     def renew(self, facts: ServerFacts) -> None:
@@ -199,12 +207,12 @@
         crowd = 1 + len(self.out) / max(1.0, self.places) + queued
         return self.ratio * self.slow * crowd / (1.05 - self.failing) ** 3
 
-    def answered(self, now: float, lane: Lane, outcome: Outcome, elapsed: float,
+    def answered(self, now: float, lane: Lane, outcome: Outcome, elapsed: float, units: float,
                  report: LoadReport | None, growth: float, strain: float | None = None) -> None:
         """Guards against fast failures that attract work, and dead servers: the more fail, the more rest."""
         if report and "waiting" in report:
             self.waiting, self.waiting_at = report["waiting"], now
-        relative = elapsed / lane.floor
+        relative = lane.relative(elapsed, units)
         if outcome in ("ok", "timed_out") or (outcome == "withdrawn" and relative > self.ratio):
             self.samples.add(now, relative)
             self.ratio += (relative - self.ratio) * min(0.4, max(0.12, (now - self.answered_at) / 12))
@@ -212,7 +220,7 @@
             if (strain or self.ratio) > SATURATED:
                 self.places = max(LEAST_PLACES * self.first_places, self.places * 0.94)
         if outcome == "ok":
-            lane.learn(elapsed)
+            lane.learn(elapsed, units)
             self.credit = min(CREDIT[0], self.credit + CREDIT[1])
             self.failing *= 0.8
             if (strain or self.ratio) < EASY and len(self.out) + 1 >= int(self.places):
@@ -248,12 +256,13 @@
         gateway = self.gateway
         server.out.pop((self.id, number), None)
         self.customer.out -= 1
-        gateway.answers, gateway.out = gateway.answers + 1, gateway.out - 1
+        gateway.answers, gateway.out, units = gateway.answers + 1, gateway.out - 1, actual or self.units
         if outcome in ("ok", "timed_out"):
-            gateway.strain += (min(BAD, elapsed / self.lane.floor) - gateway.strain) * 0.12
+            gateway.strain += (min(BAD, self.lane.relative(elapsed, units)) - gateway.strain) * 0.12
         scarce, waits = gateway.scarcity(now), any(gateway.lines.values())
         growth = GROWTH * server.first_places / math.sqrt(1 - scarce) if waits else 0.0
-        server.answered(now, self.lane, outcome, elapsed, report, growth, gateway.strain if scarce else None)
+        strain = gateway.strain if scarce else None
+        server.answered(now, self.lane, outcome, elapsed, units, report, growth, strain)
         gateway.good.add(now, float(outcome == "ok"))
         if outcome in ("full", "unreachable", "moot"):  # it has surely never run
             self.risky.pop(number, None)
@@ -594,7 +603,7 @@
         customer.part -= 0 if number else handle.units
         handle.count += 1
         handle.out[number], handle.risky[number] = server, (server, now)
-        server.out[(handle.id, number)] = (now, handle.lane)
+        server.out[(handle.id, number)] = (now, handle.lane, handle.units)
         server.slot_sent += 1
         server.cost[customer.key] = server.cost.get(customer.key, 0.0) + handle.units
         customer.out, self.out = customer.out + 1, self.out + 1
@@ -618,7 +627,8 @@
         """By a high quantile of answer times beside the fellows'; what is out for long is a sample, too."""
         quantiles = {}
         for server in self.servers.values():
-            ages = [(now - sent) / lane.floor for sent, lane in server.out.values() if now - sent > lane.mean]
+            out = [(now - sent, lane, units) for sent, lane, units in server.out.values()]
+            ages = [lane.relative(age, units) for age, lane, units in out if age > lane.mean]
             samples = sorted(server.samples.values(now) + ages)
             if samples:
                 quantiles[server.name] = (samples[int(JUDGED * (len(samples) - 1) + 0.5)], len(samples))
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -2,6 +2,7 @@
 
 from dataclasses import replace
 
+import pytest
 from helpers import PLAN, SERVER, customer, gateway, lane, take
 
 
@@ -131,7 +132,7 @@
     at = gateway()
     server = at.servers["s1"]
     for _ in range(4):
-        server.answered(100.0, at.lanes["lane"], "error", 0.001, None, 0.0)
+        server.answered(100.0, at.lanes["lane"], "error", 0.001, 1.0, None, 0.0)
     assert not server.has_place(100.5) and server.has_place(102.0)
 
 
@@ -141,7 +142,7 @@
     row = at.lanes["lane"]
     for name in ("s2", "s3", "s4", "s5"):
         at.servers[name].samples.add(105.0, 1.0)
-    at.servers["s1"].out = {(n, 0): (100.0, row) for n in range(4)}
+    at.servers["s1"].out = {(n, 0): (100.0, row, 1.0) for n in range(4)}
     at._judge(105.0)
     assert at.servers["s1"].slow > 2 > at.servers["s2"].slow
 
@@ -177,12 +178,28 @@
     at = gateway()
     server, row = at.servers["s1"], at.lanes["lane"]
     before = server.places
-    server.answered(100.0, row, "ok", row.floor, None, 0.0)
+    server.answered(100.0, row, "ok", row.floor, 1.0, None, 0.0)
     assert server.places == before
-    server.answered(100.0, row, "ok", row.floor, None, 0.5)
+    server.answered(100.0, row, "ok", row.floor, 1.0, None, 0.5)
     assert server.places > before
 
 
+def test_the_few_answers_that_come_first_are_no_floor() -> None:
+    """Guards against idle servers that are held to be strained: short pieces are answered first."""
+    row = gateway((lane(quoted_time=3.0),)).lanes["lane"]
+    for _ in range(3):
+        row.learn(0.02, 1.0)
+    assert row.floor > 0.3 and row.relative(0.5, 1.0) < 1.5
+
+
+def test_a_large_piece_that_takes_its_time_is_no_sign_of_a_slow_server() -> None:
+    row = gateway().lanes["lane"]
+    for _ in range(50):
+        row.learn(0.1, 1.0)
+        row.learn(0.6, 6.0)
+    assert row.relative(0.6, 6.0) == pytest.approx(row.relative(0.1, 1.0)) and row.relative(0.6, 1.0) > 4
+
+
 def test_restarted_server_begins_anew() -> None:
     at = gateway()
     at.servers["s1"].failing = 0.9
@@ -248,10 +265,10 @@
         one.failing = 0.5
     at._judge(100.0)
     alike, alone = at.servers["s0"], at.servers["s1"]
-    alike.answered(100.0, at.lanes["lane"], "broken", 0.001, None, 0.0)
+    alike.answered(100.0, at.lanes["lane"], "broken", 0.001, 1.0, None, 0.0)
     assert alike.worth(100.0) > 0.8 * alike.places
     for name in ("s0", "s2", "s3"):
         at.servers[name].failing = 0.0
     at._judge(100.0)
-    alone.answered(100.0, at.lanes["lane"], "broken", 0.001, None, 0.0)
+    alone.answered(100.0, at.lanes["lane"], "broken", 0.001, 1.0, None, 0.0)
     assert alone.worth(100.0) == 0.0 and alone.resume > 101.0
