A counter's answer that comes after its time still tells the store

Counter._answered dropped it, so that a crowded counter told nobody anything.

Change: Gateway.counted_late takes it as news of the customer, unless another call is out or the count's name has changed; the submissions that waited stay decided.

--- a/merlintally/choice.py
+++ b/merlintally/choice.py
@@ -302,6 +302,7 @@
         self.customers, self.marks = dict[str, Customer](), dict[int, Customer]()  # by key; by mark in notes
         self.servers, self.open = dict[str, AppServer](), dict[int, Submission]()
         self.asking = dict[int, Customer]()  # by the count that they wait for
+        self.missed = dict[int, tuple[Customer, float, float]]()  # by count: adds without an answer in time
         self.last = Lane(LaneFacts("", 1, 1, 0, 0, "one-shot", "cell", 0))  # unknown lanes; beyond the quota
         order = [*sorted(self.lanes.values(), key=lambda lane: -lane.gain), self.last]
         self.lines = {lane: deque[Submission]() for lane in order}  # served in this order
@@ -362,10 +363,21 @@
                 self._decide(now, handle)
         if outcome == "ok" and not customer.sure:
             customer.took_nothing(min(sent, -customer.store))
+        elif outcome == "timed_out":
+            unsent = sum(one.units for one in waiting if one.closed and not one.count)
+            self.missed[name] = customer, added, customer.told - unsent
         wrong = customer.untold < 0 or customer.untold > RIGHT / 2 * customer.plan.burst
         self._tell(now, customer, outcome == "ok" and wrong)
         self.pull(now)
 
+    def counted_late(self, now: float, name: int, total: float) -> None:
+        """The answer to an add that was given up. Guards against a crowded counter whose answers all come
+        a little late, and tell nobody anything: this one's submissions are decided, the next are not."""
+        customer, added, sent = self.missed.pop(name, (None, 0.0, 0.0))
+        if customer is not None and customer.asked is None and name == customer.name:
+            customer.news(total, added, now)
+            customer.took_nothing(min(sent, -customer.store))
+
     def noted(self, now: float, peer: int, payload: bytes) -> None:
         """Another gateway tells what it has drawn of its customers."""
         self.peers[peer] = now
@@ -392,7 +404,7 @@
         if now - self.swept >= KEEP / 8:
             self.swept = now
             self.customers = {key: one for key, one in self.customers.items() if not one.idle(now)}
-            self.marks = {one.mark: one for one in self.customers.values()}
+            self.marks, self.missed = {one.mark: one for one in self.customers.values()}, {}
         self._expire(now)
         self.pull(now)
         for customer in self.customers.values() if self._may_call(now, True) else ():
--- a/merlintally/net/counter.py
+++ b/merlintally/net/counter.py
@@ -172,6 +172,8 @@
     def _answered(self, call: Call, outcome: CounterOutcome, total: float) -> None:
         if not call.over:
             self._over(call, outcome, total)
+        elif outcome == "ok":
+            self.keeper.counted_late(call.name, total)
 
 
 def outcome_of(answer: str) -> tuple[CounterOutcome, float]:
--- a/merlintally/net/keeper.py
+++ b/merlintally/net/keeper.py
@@ -164,6 +164,9 @@
     def counted(self, name: int, outcome: CounterOutcome, total: float, elapsed: float) -> None:
         self.gateway.counted(self.clock.now(), name, outcome, total, elapsed)
 
+    def counted_late(self, name: int, total: float) -> None:
+        self.gateway.counted_late(self.clock.now(), name, total)
+
     def noted(self, peer: int, payload: bytes) -> None:
         self.gateway.noted(self.clock.now(), peer, payload)
 
