--- a/merlintally/net/configuration.py
+++ b/merlintally/net/configuration.py
@@ -43,8 +43,11 @@
     counter_silence_s: float = 1.0  # without an answer that is due, after which its connection is given up
     counter_calls: int = 1024  # calls to the counter that are out at once
     watch_s: float = 10.0  # for which a watch on discovery may wait
-    answer_s: float = 1.0  # for which discovery may take beyond that
-    again_s: float = 0.1  # until something that broke is tried again
+    answer_s: float = 3.0  # for which discovery may take beyond that
+    again_s: float = 0.1  # until something that broke is tried again, at the least
+    again_most_s: float = 5.0  # and at the most, where discovery fails time after time
+    spared_s: float = 4.0  # between calls to discovery once it says that it is overloaded
+    spared_most_s: float = 20.0  # and at the most, while it goes on saying so
     leave_s: float = 0.5  # for which submissions are still taken after being told to stop
     finish_s: float = 3.4  # after which all that is still open is ended
     late_s: float = 0.1  # by which the loop may run late unsaid
@@ -74,6 +77,7 @@
     sockets: int
     memory: int  # bytes
     known: tuple[Listed, ...]
+    known_index: int | None  # the version of that list
     facts: StartFacts
     reported: dict[str, str]  # fields of a load report that are told, with their names in the decisions
     most_open: int
@@ -218,7 +222,7 @@
         raise Faulty(f"settings: {wrong}") from None
     check_facts(facts)
     try:
-        servers = page(given["known"])[2] if given.get("known") is not None else []
+        version, _, servers = page(given["known"]) if given.get("known") is not None else (None, True, [])
     except Malformed as wrong:
         raise Faulty(f"known: {wrong}") from None
     seed, peers, limits = value("seed"), given.get("peers", []), given.get("limits", {})
@@ -243,7 +247,7 @@
         discovery=address(value("discovery", "LB_DISCOVERY"), "discovery"), counter=optional("counter"),
         peer_listen=optional("peer_listen"), peers_all=optional("peers_all"),
         peers=tuple(address(one, f"peers.{at}") for at, one in enumerate(peers)), seed=seed, sockets=sockets,
-        memory=int(memory * (1 << 20)), known=tuple(servers), facts=facts,
+        memory=int(memory * (1 << 20)), known=tuple(servers), known_index=version, facts=facts,
         reported={name: told for name, told in REPORTED.items() if told in names},
         most_open=most_open, connect_time_out=connect_time_out, idle_close=idle_close, bounds=bounds,
     )
--- a/merlintally/net/discovery.py
+++ b/merlintally/net/discovery.py
@@ -9,6 +9,7 @@
 import h11
 
 from merlintally.fields import Malformed
+from merlintally.net.backoff import Backoff
 from merlintally.net.configuration import Address, Bounds, page
 from merlintally.net.log import Log
 from merlintally.net.sockets import Stream, connect, tcp_socket
@@ -19,36 +20,51 @@
 MOST_BODY = 8 << 20  # bytes of one answer
 
 
+class Refused(Exception):
+    """Discovery can't answer now. Guards against whole lists asked of one that is overloaded: what the node
+    holds is as good as before, and changes since then cost less."""
+
+
 class Discovery:
     """Follows the list. Whatever breaks ends the connection; the next goes on from the version held."""
 
-    def __init__(self, where: Address, bounds: Bounds, keeper: Keeper, log: Log) -> None:
+    def __init__(self, where: Address, version: int | None, bounds: Bounds, keeper: Keeper, log: Log) -> None:
         self.where, self.bounds, self.keeper, self.log = where, bounds, keeper, log
-        self.version: int | None = None  # of the list that the node has; None: the whole list is needed
+        self.version = version  # of the list that the node has; None: the whole list is needed
         self.broken = False
+        self.backoff = Backoff(keeper.gateway.random, bounds.again_s, bounds.again_most_s, bounds.spared_s,
+                               bounds.spared_most_s)
         self._following = anyio.CancelScope()
 
     def move(self, where: Address) -> None:
         """Ask at another address from now on, first for the whole list: versions there may be others."""
         if where != self.where:
             self.where, self.version = where, None
+            self.backoff.failures, self.backoff.pause = 0, 0.0
             self._following.cancel()
 
     async def run(self) -> None:
         while True:
+            wait, said = self.bounds.again_s, ""
             try:
                 with anyio.CancelScope() as self._following:
                     await self._follow()
-            except Malformed as wrong:
-                self.version = None
+            except Refused as wrong:
                 self._complain(str(wrong))
+                wait = self.backoff.refused()
+            except Malformed as wrong:
+                self.version, said = None, str(wrong)
             except TimeoutError:
-                self._complain("no answer in time")
+                said = "no answer in time"
             except OSError as wrong:
-                self._complain(str(wrong))
+                said = str(wrong) or "the connection broke"
             except h11.RemoteProtocolError:
-                self._complain("an answer broke off or is no HTTP")
-            await anyio.sleep(self.bounds.again_s)
+                said = "an answer broke off or is no HTTP"
+            if said:
+                self._complain(said)
+                wait = self.backoff.failed()
+            with anyio.CancelScope() as self._following:
+                await anyio.sleep(wait)
 
     def _complain(self, wrong: str) -> None:
         if not self.broken:  # once for each time that it breaks
@@ -69,6 +85,8 @@
                 with anyio.fail_after(wait + self.bounds.answer_s):
                     body = await self._get(stream, connection, target)
                 await self._take(body)
+                if wait := self.backoff.worked():
+                    await anyio.sleep(wait)
                 if connection.our_state is h11.MUST_CLOSE or connection.their_state is not h11.DONE:
                     return
                 connection.start_next_cycle()
@@ -97,6 +115,8 @@
                 if len(body) > MOST_BODY:
                     raise Malformed("an answer is beyond what is allowed")
             elif isinstance(event, h11.EndOfMessage):
+                if status == 429 or status >= 500:
+                    raise Refused(f"status {status}")
                 if status != 200:
                     raise Malformed(f"status {status}")
                 return bytes(body)
--- a/merlintally/net/node.py
+++ b/merlintally/net/node.py
@@ -88,7 +88,7 @@
         clock = Clock()
         keeper = Keeper(told, clock, log)
         timers = keeper.timers = Timers(clock, keeper.post, log, bounds.late_s)
-        discovery = self.discovery = Discovery(told.discovery, bounds, keeper, log)
+        discovery = self.discovery = Discovery(told.discovery, told.known_index, bounds, keeper, log)
         most_clients = int((told.sockets - bounds.kept_back) * bounds.client_share)
         most_links = told.sockets - bounds.kept_back - most_clients
         async with anyio.create_task_group() as group:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -354,6 +354,27 @@
     assert len(asked) >= 3 and set(asked[1:]) == {b"/v1/servers?since=7&timeout_ms=100"}
 
 
+def test_discovery_that_is_overloaded_is_asked_ever_less_for_changes_only() -> None:
+    """Guards against hundreds of nodes that ask ten times a second for the whole list: none hears any."""
+    at, asked, times = server(), list[bytes](), list[float]()
+    refused = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+
+    def say(heard: bytes) -> bytes:
+        asked.append(heard.split(b" ")[1])
+        times.append(anyio.current_time())
+        return listing(at, index=7) if len(asked) == 1 else refused
+
+    discovery = Standin(say)
+
+    async def act(scene: Scene) -> None:
+        await anyio.sleep(1.5)
+        assert await scene.ask(said()) == b"$2\r\nhi\r\n"
+
+    play(told(discovery=discovery.address, bounds=Bounds(spared_s=0.05)), act, discovery, at)
+    assert 3 <= len(asked) < 12 and all(b"since=7" in one for one in asked[1:])
+    assert times[-1] - times[-2] > times[2] - times[1]
+
+
 def counting(say: object, *asked: bytes) -> list[bytes]:
     """What clients hear, one after another, with a counter that speaks so and two gateways."""
     at, counter = server(), Standin(say)  # type: ignore[arg-type]
