--- a/merlintally/choice.py
+++ b/merlintally/choice.py
@@ -192,7 +192,7 @@
         self.places, self.ratio, self.slow, self.credit = self.first_places, 1.0, 1.0, CREDIT[0]
         self.failing = self.usual = self.resume = self.waiting = 0.0  # usual: what most fellows fail, too
         self.slot, self.slot_sent, self.slot_budget, self.waiting_at, self.answered_at = -1, 0, 0, -1.0, -1.0
-        self.samples, self.cost = SampleRing(1.0, 6), dict[str, float]()
+        self.samples, self.cost, self.spare = SampleRing(1.0, 6), dict[str, float](), 0
 
     def worth(self, now: float) -> float:
         good = min(1.0, 1 + self.usual - self.failing) * (self.presence == "on" and now >= self.resume)
@@ -207,12 +207,17 @@
         crowd = 1 + len(self.out) / max(1.0, self.places) + queued
         return self.ratio * self.slow * crowd / (1.05 - self.failing) ** 3
 
+    def connected(self, now: float) -> bool:
+        """Whether a connection stands idle here. Guards against handshakes, paid for over the whole fleet."""
+        return self.spare > 0 and now - self.answered_at < FAMILIAR
+
     def answered(self, now: float, lane: Lane, outcome: Outcome, elapsed: float, units: float,
                  report: LoadReport | None, growth: float, strain: float | None = None) -> None:
         """Guards against fast failures that attract work, and dead servers: the more fail, the more rest."""
         if report and "waiting" in report:
             self.waiting, self.waiting_at = report["waiting"], now
         relative = lane.relative(elapsed, units)
+        self.spare = (self.spare if self.connected(now) else 0) + (outcome in ("ok", "error", "full"))
         if outcome in ("ok", "timed_out") or (outcome == "withdrawn" and relative > self.ratio):
             self.samples.add(now, relative)
             self.ratio += (relative - self.ratio) * min(0.4, max(0.12, (now - self.answered_at) / 12))
@@ -571,6 +576,7 @@
                 continue
             expected = server.expected(now) * (1 + 0.05 * self.random.random())
             expected += self.facts.cross_zone_price * 4 * (server.zone != self.facts.zone)
+            expected += self.facts.handshake_price * 2 * (not server.connected(now))
             if expected < lowest and self._may_send(now, handle, server) is None:
                 best, lowest = server, expected
         if best is not None:
@@ -616,7 +622,7 @@
         handle.count += 1
         handle.out[number], handle.risky[number] = server, (server, now)
         server.out[(handle.id, number)] = (now, handle.lane, handle.units)
-        server.slot_sent += 1
+        server.slot_sent, server.spare = server.slot_sent + 1, max(0, server.spare - 1)
         server.cost[customer.key] = server.cost.get(customer.key, 0.0) + handle.units
         customer.out, self.out = customer.out + 1, self.out + 1
         self.pulls.add(now, 1.0)
--- a/merlintally/facts.py
+++ b/merlintally/facts.py
@@ -77,6 +77,7 @@
         most_executions=whole(info, "limits.maxAttempts", 1),
         retry_after_limit=number(info, "limits.maxRetryAfterS", 0.0) * truth(info, "limits.retryAfter"),
         cross_zone_price=number(info, "prices.crossZone", 0.0),
+        handshake_price=number(info, "prices.handshake", 0.0),
         waste_price=number(info, "prices.waste", 0.0),
         drain_grace=number(info, "rules.drainGraceS", 0.0),
         cold_share=number(info, "rules.coldFrom", 0.1),
--- a/merlintally/interface.py
+++ b/merlintally/interface.py
@@ -67,6 +67,7 @@
     most_executions: int
     retry_after_limit: float
     cross_zone_price: float
+    handshake_price: float
     waste_price: float
     drain_grace: float
     cold_share: float
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -36,7 +36,7 @@
         number=0, gateways=2, zone="z", lanes=lanes or (lane(),), plans=(plan,), largest_units=2.0,
         settles=False, may_count=True, count_time_out=0.05, count_price=0.01, may_note=False,
         note_price=0.0, may_withdraw=True, parallel=True, most_executions=3, retry_after_limit=2.0,
-        cross_zone_price=0.0, waste_price=0.1,
+        cross_zone_price=0.0, handshake_price=0.0, waste_price=0.1,
         drain_grace=0.25, cold_share=0.25, warm_within=10.0, tip_multiple=2.0, tip_window=2.0,
     )
     made = Gateway(replace(facts, **changes), 1, 0.0)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -174,6 +174,27 @@
     assert at.take_results(100.0).sends[0][1] == "s7"
 
 
+def test_a_connection_that_stands_is_preferred_where_handshakes_cost() -> None:
+    """Guards against one handshake for every third submission: hundreds of nodes meet each server seldom."""
+    def chosen(price: float) -> str:
+        at = gateway(handshake_price=price)
+        at.roster(100.0, [replace(SERVER, server=f"s{n}") for n in range(2, 9)], complete=False)
+        at.servers["s1"].spare, at.servers["s1"].answered_at, at.servers["s1"].ratio = 1, 99.0, 1.1
+        take(at)
+        return at.take_results(100.0).sends[0][1]
+
+    assert chosen(0.1) == "s1" != chosen(0.0)
+
+
+def test_a_connection_is_held_to_stand_while_none_takes_it_and_not_for_long() -> None:
+    at = gateway()
+    server = at.servers["s1"]
+    server.answered(100.0, at.lanes["lane"], "ok", 0.1, 1.0, None, 0.0)
+    assert server.connected(101.0) and not server.connected(120.0)
+    take(at)
+    assert not server.connected(101.0)
+
+
 def test_places_grow_only_while_work_waits() -> None:
     at = gateway()
     server, row = at.servers["s1"], at.lanes["lane"]
