--- a/merlintally/net/discovery.py
+++ b/merlintally/net/discovery.py
@@ -18,6 +18,8 @@
     from merlintally.net.keeper import Keeper
 
 MOST_BODY = 8 << 20  # bytes of one answer
+TOLD_S, TOLD_AFTER_WAIT_S = 6.0, 2.0  # from a call on, until all that is listed counts as told (protocol)
+ASKED_BEFORE_S = 0.5  # by which the next call comes before that
 
 
 class Refused(Exception):
@@ -35,6 +37,7 @@
         self.backoff = Backoff(keeper.gateway.random, bounds.again_s, bounds.again_most_s, bounds.spared_s,
                                bounds.spared_most_s)
         self._following = anyio.CancelScope()
+        self._told_at = float("inf")  # when what is listed counts as told, unless the node asks again before
 
     def move(self, where: Address) -> None:
         """Ask at another address from now on, first for the whole list: versions there may be others."""
@@ -64,7 +67,12 @@
                 self._complain(said)
                 wait = self.backoff.failed()
             with anyio.CancelScope() as self._following:
-                await anyio.sleep(wait)
+                await self._rest(wait)
+
+    async def _rest(self, wait: float) -> None:
+        """Guards against a drain that counts as told while discovery is spared: the node asks before that."""
+        latest = self._told_at - ASKED_BEFORE_S - anyio.current_time()
+        await anyio.sleep(max(min(wait, latest), min(wait, self.bounds.again_s)))
 
     def _complain(self, wrong: str) -> None:
         if not self.broken:  # once for each time that it breaks
@@ -82,11 +90,12 @@
                 if self.version is not None:
                     wait = self.bounds.watch_s
                     target += f"?since={self.version}&timeout_ms={int(wait * 1000)}"
+                self._told_at = anyio.current_time() + (wait + TOLD_AFTER_WAIT_S if wait else TOLD_S)
                 with anyio.fail_after(wait + self.bounds.answer_s):
                     body = await self._get(stream, connection, target)
                 await self._take(body)
                 if wait := self.backoff.worked():
-                    await anyio.sleep(wait)
+                    await self._rest(wait)
                 if connection.our_state is h11.MUST_CLOSE or connection.their_state is not h11.DONE:
                     return
                 connection.start_next_cycle()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -375,6 +375,24 @@
     assert times[-1] - times[-2] > times[2] - times[1]
 
 
+def test_discovery_is_asked_again_before_what_it_has_counts_as_told() -> None:
+    """Guards against a drain that counts as told while the node spares an overloaded discovery."""
+    times = list[float]()
+
+    def say(heard: bytes) -> bytes:
+        times.append(anyio.current_time())
+        return b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+
+    discovery = Standin(say)
+
+    async def act(scene: Scene) -> None:
+        await anyio.sleep(1.0)
+
+    with patch("merlintally.net.discovery.TOLD_S", 0.7):
+        play(told(discovery=discovery.address, bounds=Bounds(spared_s=60.0)), act, discovery)
+    assert len(times) >= 4 and all(later - one < 0.4 for one, later in zip(times, times[1:], strict=False))
+
+
 def counting(say: object, *asked: bytes) -> list[bytes]:
     """What clients hear, one after another, with a counter that speaks so and two gateways."""
     at, counter = server(), Standin(say)  # type: ignore[arg-type]
