--- a/merlintally/net/configuration.py
+++ b/merlintally/net/configuration.py
@@ -48,6 +48,7 @@
     again_most_s: float = 5.0  # and at the most, where discovery fails time after time
     spared_s: float = 4.0  # between calls to discovery once it says that it is overloaded
     spared_most_s: float = 20.0  # and at the most, while it goes on saying so
+    asked_before_s: float = 0.5  # by which a call to discovery comes before what it lists counts as told
     leave_s: float = 0.5  # for which submissions are still taken after being told to stop
     finish_s: float = 3.4  # after which all that is still open is ended
     late_s: float = 0.1  # by which the loop may run late unsaid
--- a/merlintally/net/discovery.py
+++ b/merlintally/net/discovery.py
@@ -19,7 +19,6 @@
 
 MOST_BODY = 8 << 20  # bytes of one answer
 TOLD_S, TOLD_AFTER_WAIT_S = 6.0, 2.0  # from a call on, until all that is listed counts as told (protocol)
-ASKED_BEFORE_S = 0.5  # by which the next call comes before that
 
 
 class Refused(Exception):
@@ -71,7 +70,7 @@
 
     async def _rest(self, wait: float) -> None:
         """Guards against a drain that counts as told while discovery is spared: the node asks before that."""
-        latest = self._told_at - ASKED_BEFORE_S - anyio.current_time()
+        latest = self._told_at - self.bounds.asked_before_s - anyio.current_time()
         await anyio.sleep(max(min(wait, latest), min(wait, self.bounds.again_s)))
 
     def _complain(self, wrong: str) -> None:
@@ -81,6 +80,7 @@
 
     async def _follow(self) -> None:
         stream = Stream(tcp_socket())
+        self._told_at = anyio.current_time() + TOLD_S
         try:
             with anyio.fail_after(self.bounds.answer_s):
                 await connect(stream.sock, self.where)
