Read once more: a start from the known list's version is tested, too

Found on reading the change: that the first call to discovery asks for changes since the known list had no test. It stands in the scene of a silent discovery, and fails without the change. No code changes.

--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -350,7 +350,8 @@
         await anyio.sleep(0.6)
         assert await scene.ask(said()) == b"$2\r\nhi\r\n"
 
-    play(told(discovery=discovery.address, bounds=bounds), act, discovery, at)
+    play(told(discovery=discovery.address, bounds=bounds, known_index=3), act, discovery, at)
+    assert b"since=3" in asked[0]  # a start asks for changes since the list it is told
     assert len(asked) >= 3 and set(asked[1:]) == {b"/v1/servers?since=7&timeout_ms=100"}
 
 
