Neighbours of the keeper know its queue only; further parts attach beside it

Need: the parts that make many processes act as one need an owner of their own beside the keeper, and the imports round net/keeper.py were a circle (clients, servers, counter, discovery, peers and taken each knew the keeper for its type).

Change: net/post.py holds the queue and what may be said to an owner; executions and answers lie in taken.py. EdgeNode takes further parts; the keeper can be parked (takes nothing new) and have app servers taken out for work (they drain, whatever discovery lists).

--- a/merlintally/net/clients.py
+++ b/merlintally/net/clients.py
@@ -6,7 +6,6 @@
 import socket
 import traceback
 from collections import deque
-from typing import TYPE_CHECKING
 
 import anyio
 from anyio.abc import TaskGroup
@@ -15,14 +14,12 @@
 from merlintally.net.configuration import Deployment
 from merlintally.net.log import Log
 from merlintally.net.phases import Phase, Phases
+from merlintally.net.post import Owner
 from merlintally.net.resp import Span, array_at
 from merlintally.net.sockets import Allowance, Buffer, Stream, prepared
 from merlintally.net.taken import COMMANDS, Due, Taken
 from merlintally.net.timers import Clock
 
-if TYPE_CHECKING:
-    from merlintally.net.keeper import Keeper
-
 AT_ONCE, LINGERING = 16, 8  # connections accepted, and reads of one that is to be closed, in a row
 ASIDE = (b"PING", b"CLIENT", b"SELECT", b"QUIT")
 SCARCE = {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM}
@@ -228,7 +225,7 @@
 class Clients:
     """The listener and all connections of clients."""
 
-    def __init__(self, deployment: Deployment, listener: socket.socket, phases: Phases, keeper: Keeper,
+    def __init__(self, deployment: Deployment, listener: socket.socket, phases: Phases, keeper: Owner,
                  clock: Clock, log: Log, group: TaskGroup, descriptors: Allowance, held: Allowance) -> None:
         self.listener, self.phases, self.bounds = listener, phases, deployment.bounds
         self.keeper, self.clock, self.log, self.group = keeper, clock, log, group
--- a/merlintally/net/counter.py
+++ b/merlintally/net/counter.py
@@ -5,7 +5,6 @@
 import re
 from collections import deque
 from contextlib import suppress
-from typing import TYPE_CHECKING
 
 import anyio
 
@@ -13,14 +12,11 @@
 from merlintally.interface import CounterOutcome
 from merlintally.net.configuration import Address, Bounds
 from merlintally.net.log import Log
+from merlintally.net.post import Owner
 from merlintally.net.resp import line_end
 from merlintally.net.sockets import Stream, connect, tcp_socket
 from merlintally.net.timers import Clock, Timers
 
-if TYPE_CHECKING:
-    from merlintally.net.keeper import Keeper
-
-
 PART = re.compile(rb"|".join((  # of an answer; guards against waiting for the end of one that is spoilt
     rb"o?|ok|ok [-+.0-9e]{0,40}\r?", *(word[:at] for word in (b"busy\r", b"error\r") for at in range(1, 7)))))
 
@@ -45,7 +41,7 @@
 class Counter:
     """Calls without an answer in time are over; their answers are still awaited, for the order's sake."""
 
-    def __init__(self, where: Address, time_out: float, bounds: Bounds, keeper: Keeper, clock: Clock,
+    def __init__(self, where: Address, time_out: float, bounds: Bounds, keeper: Owner, clock: Clock,
                  timers: Timers, log: Log) -> None:
         self.where, self.time_out, self.bounds = where, time_out, bounds
         self.keeper, self.clock, self.timers, self.log = keeper, clock, timers, log
--- a/merlintally/net/discovery.py
+++ b/merlintally/net/discovery.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from typing import TYPE_CHECKING
+from random import Random
 
 import anyio
 import h11
@@ -12,11 +12,9 @@
 from merlintally.net.backoff import Backoff
 from merlintally.net.configuration import Address, Bounds, page
 from merlintally.net.log import Log
+from merlintally.net.post import Owner
 from merlintally.net.sockets import Stream, connect, tcp_socket
 
-if TYPE_CHECKING:
-    from merlintally.net.keeper import Keeper
-
 MOST_BODY = 8 << 20  # bytes of one answer
 TOLD_S, TOLD_AFTER_WAIT_S = 6.0, 2.0  # from a call on, until all that is listed counts as told (protocol)
 
@@ -29,11 +27,12 @@
 class Discovery:
     """Follows the list. Whatever breaks ends the connection; the next goes on from the version held."""
 
-    def __init__(self, where: Address, version: int | None, bounds: Bounds, keeper: Keeper, log: Log) -> None:
+    def __init__(self, where: Address, version: int | None, bounds: Bounds, keeper: Owner,
+                 chance: Random, log: Log) -> None:
         self.where, self.bounds, self.keeper, self.log = where, bounds, keeper, log
         self.version = version  # of the list that the node has; None: the whole list is needed
         self.broken = False
-        self.backoff = Backoff(keeper.gateway.random, bounds.again_s, bounds.again_most_s, bounds.spared_s,
+        self.backoff = Backoff(chance, bounds.again_s, bounds.again_most_s, bounds.spared_s,
                                bounds.spared_most_s)
         self._following = anyio.CancelScope()
         self._told_at = float("inf")  # when what is listed counts as told, unless the node asks again before
--- a/merlintally/net/keeper.py
+++ b/merlintally/net/keeper.py
@@ -5,19 +5,19 @@
 import traceback
 from collections import deque
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
-import anyio
-
 from merlintally.choice import Gateway
 from merlintally.interface import CounterOutcome
 from merlintally.net.configuration import Deployment, Listed
 from merlintally.net.counter import Counter
 from merlintally.net.log import Log
 from merlintally.net.peers import Peers
-from merlintally.net.servers import Answer, Execution, Fleet
+from merlintally.net.post import Post
+from merlintally.net.servers import Fleet
 from merlintally.net.sockets import Buffer
-from merlintally.net.taken import Taken
+from merlintally.net.taken import Answer, Execution, Taken
 from merlintally.net.timers import Clock, Timers
 
 GIVEN_UP: list[Buffer] = [b"-ERR given up\r\n"]
@@ -47,27 +47,15 @@
         self.taken: dict[int, Taken] = {}
         self.ids = set[bytes]()  # of those taken
         self.last_number = 0
+        self.parked = False  # whether this node is taken out for work: it takes nothing new
+        self.out: frozenset[str] = frozenset()  # app servers that are taken out for work
+        self.shown: dict[str, Listed] | None = None  # as listed, where app servers may be taken out
         self.soon: deque[tuple[Callable[..., None], tuple[Any, ...]]] = deque()  # the keeper's own calls
-        self._send, self._calls = anyio.create_memory_object_stream[
-            tuple[Callable[..., None], tuple[Any, ...]]](deployment.bounds.queue)
-
-    async def post(self, call: Callable[..., None], *args: Any) -> None:
-        """Put a call in the queue; while it is full the caller waits, and reads no more."""
-        try:
-            self._send.send_nowait((call, args))
-        except anyio.WouldBlock:
-            await self._send.send((call, args))
+        self._queue = Post(deployment.bounds.queue)
+        self.post = self._queue.post
 
     async def run(self) -> None:
-        async for call, args in self._calls:
-            self._do(call, args)
-            while True:
-                try:
-                    call, args = self._calls.receive_nowait()
-                except anyio.WouldBlock:
-                    break
-                self._do(call, args)
-            self._do(self.carry_out, ())
+        await self._queue.run(self._do, self.carry_out)
 
     def _do(self, call: Callable[..., None], args: tuple[Any, ...]) -> None:
         """Guards against one bad event that takes the node, and all it holds, with it."""
@@ -108,7 +96,7 @@
     # What comes through the queue.
 
     def take(self, taken: Taken) -> None:
-        if len(self.taken) >= self.most_open:
+        if self.parked or len(self.taken) >= self.most_open:
             self._pass_on(taken, BUSY)
             return
         if taken.id in self.ids:  # guards against one that gets, or spoils, what is another's
@@ -158,9 +146,29 @@
             self.ended(execution, Answer("timed_out" if execution.written else "unreachable"))
 
     def listed(self, entries: list[Listed], complete: bool) -> None:
+        if self.shown is not None:
+            if complete:
+                self.shown.clear()
+            self.shown.update((entry.facts.server, entry) for entry in entries)
+            self.shown = {name: entry for name, entry in self.shown.items() if entry.facts.presence != "gone"}
+            entries = [self._as_agreed(entry) for entry in entries]
         self.fleet.roster(entries, complete)
         self.gateway.roster(self.clock.now(), [entry.facts for entry in entries], complete)
 
+    def take_out(self, servers: frozenset[str]) -> None:
+        """These app servers, and no others, are out for work: to them nothing new is sent."""
+        assert self.shown is not None, "nothing was kept of what is listed"
+        changed, self.out = self.out ^ servers, servers
+        if entries := [self._as_agreed(self.shown[name]) for name in sorted(changed) if name in self.shown]:
+            self.fleet.roster(entries, False)
+            self.gateway.roster(self.clock.now(), [entry.facts for entry in entries], False)
+
+    def _as_agreed(self, entry: Listed) -> Listed:
+        """Discovery knows nothing of work: what it lists as on drains while it is out."""
+        if entry.facts.server not in self.out or entry.facts.presence != "on":
+            return entry
+        return Listed(replace(entry.facts, presence="draining"), entry.address)
+
     def counted(self, name: int, outcome: CounterOutcome, total: float, elapsed: float) -> None:
         self.gateway.counted(self.clock.now(), name, outcome, total, elapsed)
 
--- a/merlintally/net/node.py
+++ b/merlintally/net/node.py
@@ -8,7 +8,7 @@
 import socket
 import sys
 import traceback
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from contextlib import ExitStack
 from functools import partial
 
@@ -27,15 +27,18 @@
 from merlintally.net.sockets import Allowance
 from merlintally.net.timers import Clock, Timers
 
+Part = Callable[["EdgeNode", Keeper], Awaitable[None]]
+
 
 class EdgeNode:
     """An edge node to run or to embed: `await node.serve()` ends some time after `node.leave()`.
 
-    Several may run in one process; they share nothing.
+    Several may run in one process; they share nothing. `parts` are further tasks that stand beside it until
+    all it took is answered; each is given the node and the owner of its decisions.
     """
 
-    def __init__(self, deployment: Deployment, log: Log | None = None) -> None:
-        self.deployment = deployment
+    def __init__(self, deployment: Deployment, log: Log | None = None, parts: Iterable[Part] = ()) -> None:
+        self.deployment, self.parts = deployment, parts
         self.log = log or Log(deployment.name, deployment.bounds.log_lines)
         self.phases = Phases()
         self.listener: socket.socket | None = None
@@ -88,7 +91,8 @@
         clock = Clock()
         keeper = Keeper(told, clock, log)
         timers = keeper.timers = Timers(clock, keeper.post, log, bounds.late_s)
-        discovery = self.discovery = Discovery(told.discovery, told.known_index, bounds, keeper, log)
+        discovery = self.discovery = Discovery(told.discovery, told.known_index, bounds, keeper,
+                                               keeper.gateway.random, log)
         most_clients = int((told.sockets - bounds.kept_back) * bounds.client_share)
         most_links = told.sockets - bounds.kept_back - most_clients
         async with anyio.create_task_group() as group:
@@ -107,6 +111,8 @@
             if peer_sock is not None:
                 keeper.peers = Peers(peer_sock, told.peers, told.peers_all, keeper, log)
                 tasks.append(keeper.peers.run)
+            for part in self.parts:
+                tasks.append(partial(part, self, keeper))
             keeper.listed(list(told.known), True)
             keeper.carry_out()
             for task in tasks:
@@ -166,9 +172,9 @@
         node.log.reread(node.log)
 
 
-async def run_program(deployment: Deployment, log: Log | None = None) -> None:
+async def run_program(deployment: Deployment, log: Log | None = None, parts: Iterable[Part] = ()) -> None:
     """Serve until told to stop by a signal; SIGHUP has the configuration read again."""
-    node = EdgeNode(deployment, log)
+    node = EdgeNode(deployment, log, parts)
     node.bind()
     async with anyio.create_task_group() as group:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
@@ -186,7 +192,7 @@
         group.cancel_scope.cancel()
 
 
-def main(make_log: Callable[[Deployment], Log] | None = None) -> int:
+def main(make_log: Callable[[Deployment], Log] | None = None, parts: Iterable[Part] = ()) -> int:
     """Run the node that LB_CONFIG describes; gives the exit code: 0 after a clean leave, 1 where it can't
     serve, 2 for a faulty configuration. `make_log` makes its log, else lines are plain."""
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # guards against one that comes too early, or while it ends
@@ -196,7 +202,7 @@
         print(f"merlintally: {wrong}", file=sys.stderr)
         return 2
     try:
-        anyio.run(run_program, deployment, make_log(deployment) if make_log else None)
+        anyio.run(run_program, deployment, make_log(deployment) if make_log else None, parts)
     except OSError as wrong:
         print(f"merlintally: can't serve: {wrong}", file=sys.stderr)
         return 1
--- a/merlintally/net/peers.py
+++ b/merlintally/net/peers.py
@@ -4,22 +4,19 @@
 
 import socket
 from contextlib import suppress
-from typing import TYPE_CHECKING
 
 import anyio
 
 from merlintally.net.configuration import Address
 from merlintally.net.log import Log
-
-if TYPE_CHECKING:
-    from merlintally.net.keeper import Keeper
+from merlintally.net.post import Owner
 
 MOST = 256  # bytes of a datagram, by the protocol
 
 
 class Peers:
     def __init__(self, sock: socket.socket, peers: tuple[Address, ...], everyone: Address | None,
-                 keeper: Keeper, log: Log) -> None:
+                 keeper: Owner, log: Log) -> None:
         self.numbers = {peer: number for number, peer in enumerate(peers)}
         self.everyone, self.keeper, self.log = everyone, keeper, log
         self.sock = sock
--- a/merlintally/net/servers.py
+++ b/merlintally/net/servers.py
@@ -5,7 +5,6 @@
 import re
 import traceback
 from collections.abc import Iterable
-from typing import TYPE_CHECKING, NamedTuple
 
 import anyio
 from anyio.abc import TaskGroup
@@ -14,28 +13,17 @@
 from merlintally.interface import LoadReport, Outcome, Presence
 from merlintally.net.configuration import Address, Deployment, Listed
 from merlintally.net.log import Log
+from merlintally.net.post import Owner
 from merlintally.net.resp import array_at, bulk, line_end
 from merlintally.net.sockets import Allowance, Stream, connect, tcp_socket
-from merlintally.net.taken import Taken
+from merlintally.net.taken import Answer, Execution
 from merlintally.net.timers import Clock
 
-if TYPE_CHECKING:
-    from merlintally.net.keeper import Keeper
-
 FIGURE = re.compile(r"([a-z0-9_]+)=(-?[0-9]{1,12}(?:\.[0-9]{1,12})?)")
 ERROR = re.compile(rb"-(BUSY|ERR)((?: [!-~]+)*)")
 UNUSABLE: Outcome = "withdrawn"  # of what an app server can't use: the client's fault, and not the server's
 
 
-class Answer(NamedTuple):
-    """What an app server said of an execution; `value`, if any, is what the client is told, as a whole."""
-
-    outcome: Outcome
-    value: bytes = b""
-    actual: float = 0.0
-    report: LoadReport | None = None
-
-
 def figures(row: str) -> dict[str, float]:
     """What can be read of them. Guards against a good answer that is lost for its figures, which are dropped.
 
@@ -82,19 +70,6 @@
     return {reported[name]: value for name, value in figures(row).items() if name in reported} or None
 
 
-class Execution:
-    """One execution of a submission at an app server."""
-
-    __slots__ = ("taken", "number", "began", "until", "link", "written", "answered", "over")
-
-    def __init__(self, taken: Taken, number: int, began: float, until: float) -> None:
-        self.taken, self.number, self.began, self.until = taken, number, began, until
-        self.link: Link | None = None
-        self.written = False  # its last byte is written: from then on it may have run
-        self.answered = False  # its end is on its way to the owner of the decisions
-        self.over = False
-
-
 class Link:
     """One connection to an app server. It carries one execution at a time, so that none waits for another's
     answer, and calling one off, which closes the connection, ends no other."""
@@ -200,7 +175,7 @@
 class Fleet:
     """All app servers that discovery has named."""
 
-    def __init__(self, deployment: Deployment, keeper: Keeper, clock: Clock, log: Log, group: TaskGroup,
+    def __init__(self, deployment: Deployment, keeper: Owner, clock: Clock, log: Log, group: TaskGroup,
                  descriptors: Allowance, held: Allowance) -> None:
         self.keeper, self.clock, self.log, self.group = keeper, clock, log, group
         self.descriptors, self.held, self.reported = descriptors, held, deployment.reported
@@ -270,10 +245,15 @@
                 return server.idle.pop(at)
         return None
 
+    def busy(self, name: str) -> int:
+        """How many executions are out at an app server, or on their way to it."""
+        server = self.servers.get(name)
+        return sum(link.execution is not None for link in server.links) if server is not None else 0
+
     def call_off(self, execution: Execution) -> None:
         """Stop waiting: the connection ends, so that nothing else is out on it."""
         link = execution.link
-        if link is not None and link.execution is execution:
+        if isinstance(link, Link) and link.execution is execution:
             link.execution = None
             if link.connected:
                 link.end()
--- a/merlintally/net/taken.py
+++ b/merlintally/net/taken.py
@@ -1,19 +1,17 @@
-"""A submission as it came from a client: its command, checked, and the form for an app server."""
+"""A submission as it came from a client: its command, checked, the form for an app server, its executions."""
 
 from __future__ import annotations
 
 import re
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple, Protocol
 
 from merlintally.fields import Fields, Malformed, number, text, whole
-from merlintally.interface import StartFacts
+from merlintally.interface import LoadReport, Outcome, StartFacts
 from merlintally.net.resp import Span
 from merlintally.net.sockets import Buffer
 
 if TYPE_CHECKING:
     from merlintally.choice import Submission
-    from merlintally.net.clients import Client
-    from merlintally.net.servers import Execution
 
 COMMANDS = {b"Q.ASK": (True, 4), b"Q.DO": (False, 5)}  # whether for lanes that may run again; words
 CUSTOMER = re.compile(rb"0{7}[01][0-9a-fA-F]{8}")
@@ -23,6 +21,12 @@
 LIMIT_TERM = re.compile(rb"(?:^|,)d=([^,]*)")
 
 
+class Connection(Protocol):
+    """Whoever brought a submission, and is told once its answer is there."""
+
+    def pass_on(self) -> None: ...
+
+
 class Due:
     """An answer that a client's connection owes, in the order of its commands."""
 
@@ -38,7 +42,7 @@
     __slots__ = ("client", "raw", "terms_at", "limit_at", "lane", "customer", "plan", "units", "spread",
                  "id", "ends", "size", "number", "handle", "out", "sent", "gone")
 
-    def __init__(self, client: Client, raw: bytes, words: list[Span], facts: StartFacts,
+    def __init__(self, client: Connection, raw: bytes, words: list[Span], facts: StartFacts,
                  arrived: float) -> None:
         """Check a command of which `words` are the spans in `raw`; Malformed says what is wrong."""
         super().__init__()
@@ -87,6 +91,28 @@
         return [raw[:head], length, raw[first:start], digits, raw[stop:]]
 
 
+class Execution:
+    """One execution of a submission at an app server."""
+
+    __slots__ = ("taken", "number", "began", "until", "link", "written", "answered", "over")
+
+    def __init__(self, taken: Taken, number: int, began: float, until: float) -> None:
+        self.taken, self.number, self.began, self.until = taken, number, began, until
+        self.link: object = None  # the connection that carries it, which is for who carries it alone
+        self.written = False  # its last byte is written: from then on it may have run
+        self.answered = False  # its end is on its way to the owner of the decisions
+        self.over = False
+
+
+class Answer(NamedTuple):
+    """What an app server said of an execution; `value`, if any, is what the client is told, as a whole."""
+
+    outcome: Outcome
+    value: bytes = b""
+    actual: float = 0.0
+    report: LoadReport | None = None
+
+
 def terms_of(raw: bytes, span: Span) -> tuple[Fields, Span]:
     """The names and values of a submission, and where the value of `d` stands."""
     found = raw[span[0]:span[1]]
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -299,3 +299,25 @@
 def test_malformed_lists_of_discovery(body: str) -> None:
     with pytest.raises(Malformed):
         page(json.loads(body))
+
+
+def presences(keeper: Keeper) -> dict[str, str]:
+    return {name: one.presence for name, one in keeper.gateway.servers.items()}
+
+
+def test_a_server_taken_out_for_work_gets_nothing_new_and_a_parked_node_takes_nothing() -> None:
+    log = io.StringIO()
+    keeper = Keeper(told(), Clock(), Log("n", 9.0, log))
+    keeper.timers = keeper.counter = others = Mock()
+    keeper.fleet, keeper.shown = others, {}
+    rows = [{"name": name, "address": "127.0.0.1:9", "group": 0, "status": "SERVING"} for name in ("s", "t")]
+    keeper.listed(page({"index": 1, "endpoints": rows})[2], True)
+    keeper.take_out(frozenset({"s", "unlisted"}))
+    assert presences(keeper) == {"s": "draining", "t": "on"}
+    keeper.listed(page({"index": 2, "endpoints": rows})[2], True)  # discovery lists it as on once more
+    assert presences(keeper) == {"s": "draining", "t": "on"}
+    keeper.take_out(frozenset())
+    assert presences(keeper) == {"s": "on", "t": "on"}
+    keeper.parked, one = True, Mock(answer=None, gone=False)
+    keeper.take(one)
+    assert (one.answer, keeper.taken, log.getvalue()) == ([b"-BUSY\r\n"], {}, "")
