The right to take and to send is looked up at each use, where nodes settle it

Need: a process that is stopped and continued minutes later must not send on what it believed before; a timer of its own runs too late for that.

Change: the keeper asks a Right, where one is attached, before it takes and before each send; a send that it forbids ends as never sent.

Result: two tests, one of a send decided before the right ended; without a right nothing changes.

--- a/merlintally/net/keeper.py
+++ b/merlintally/net/keeper.py
@@ -14,7 +14,7 @@
 from merlintally.net.counter import Counter
 from merlintally.net.log import Log
 from merlintally.net.peers import Peers
-from merlintally.net.post import Post
+from merlintally.net.post import Post, Right
 from merlintally.net.servers import Fleet
 from merlintally.net.sockets import Buffer
 from merlintally.net.taken import Answer, Execution, Taken
@@ -47,7 +47,7 @@
         self.taken: dict[int, Taken] = {}
         self.ids = set[bytes]()  # of those taken
         self.last_number = 0
-        self.parked = False  # whether this node is taken out for work: it takes nothing new
+        self.right: Right | None = None  # to take and to send, where nodes settle it among themselves
         self.out: frozenset[str] = frozenset()  # app servers that are taken out for work
         self.shown: dict[str, Listed] | None = None  # as listed, where app servers may be taken out
         self.soon: deque[tuple[Callable[..., None], tuple[Any, ...]]] = deque()  # the keeper's own calls
@@ -96,7 +96,8 @@
     # What comes through the queue.
 
     def take(self, taken: Taken) -> None:
-        if self.parked or len(self.taken) >= self.most_open:
+        may = self.right is None or self.right.may_take()
+        if not may or len(self.taken) >= self.most_open:
             self._pass_on(taken, BUSY)
             return
         if taken.id in self.ids:  # guards against one that gets, or spoils, what is another's
@@ -204,7 +205,10 @@
         taken.out[execution.number] = execution
         if self.log.follows:
             self._step(taken, "execution.sent", execution=execution.number, server=server)
-        if not taken.gone and self.fleet.send(server, execution):
+        # Guards against a process stopped for longer than its right lasts, which sends before any timer
+        # has told it so: the right is looked up here, at each send.
+        may = self.right is None or self.right.may_send(server)
+        if may and not taken.gone and self.fleet.send(server, execution):
             self.timers.at(until, self.expired, execution)
         else:
             self.soon.append((self.ended, (execution, Answer("unreachable"))))
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -318,6 +318,23 @@
     assert presences(keeper) == {"s": "draining", "t": "on"}
     keeper.take_out(frozenset())
     assert presences(keeper) == {"s": "on", "t": "on"}
-    keeper.parked, one = True, Mock(answer=None, gone=False)
+    keeper.right, one = Mock(), Mock(answer=None, gone=False)
+    keeper.right.may_take.return_value = False
     keeper.take(one)
     assert (one.answer, keeper.taken, log.getvalue()) == ([b"-BUSY\r\n"], {}, "")
+
+
+def test_a_send_that_the_right_forbids_by_now_is_no_send() -> None:
+    """Guards against a process stopped between its decision and its send, and continued much later."""
+    keeper = Keeper(told(), Clock(), Log("n", 9.0, io.StringIO()))
+    keeper.timers, keeper.fleet, keeper.right = Mock(), Mock(), Mock()
+    keeper.right.may_take.return_value = True
+    keeper.right.may_send.return_value = False
+    keeper.listed(page({"index": 1, "endpoints": [
+        {"name": "s", "status": "SERVING", "address": "127.0.0.1:1"}]})[2], True)
+    one = taken(said())
+    one.ends = keeper.clock.now() + 1.0
+    keeper.take(one)
+    keeper.carry_out()
+    assert keeper.right.may_send.call_args.args == ("s",) and not keeper.fleet.send.called
+    assert one.out == {} and keeper.gateway.out == 0
