--- /dev/null
+++ b/merlintally/cluster/members/__init__.py
@@ -0,0 +1,5 @@
+"""Who is there (SWIM with Lifeguard's additions), without input or output: see docs/members.md."""
+
+from merlintally.cluster.members.core import FORMS, MISTAKES, Member, Members, Rhythm
+
+__all__ = ["FORMS", "MISTAKES", "Member", "Members", "Rhythm"]
--- /dev/null
+++ b/merlintally/lab/schedules/__init__.py
@@ -0,0 +1,2 @@
+"""The cluster's cores in simulated time: a seeded network, clocks and disks, and checkers that see
+everything."""
--- /dev/null
+++ b/merlintally/lab/schedules/world.py
@@ -0,0 +1,71 @@
+"""A seeded world for cores: one agenda, links that lose, double, delay and part, clocks that drift."""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Callable, Iterable
+from random import Random
+from typing import Any
+
+Call = Callable[..., None]
+
+
+class World:
+    """Time in seconds, all chance from one seed. Links are directed: (from, to)."""
+
+    def __init__(self, seed: int) -> None:
+        self.random, self.now, self.number = Random(seed), 0.0, 0
+        self.due: list[tuple[float, int, Call, tuple[Any, ...]]] = []
+        self.loss = self.double = self.slow = 0.0  # shares of the messages
+        self.delay = (0.001, 0.01)
+        self.cut: set[tuple[str, str]] = set()
+        self.sent = self.lost = 0
+
+    def at(self, when: float, call: Call, *args: Any) -> None:
+        self.number += 1
+        heapq.heappush(self.due, (when, self.number, call, args))
+
+    def after(self, wait: float, call: Call, *args: Any) -> None:
+        self.at(self.now + wait, call, *args)
+
+    def run(self, until: float) -> None:
+        while self.due and self.due[0][0] <= until:
+            self.now, _, call, args = heapq.heappop(self.due)
+            call(*args)
+        self.now = until
+
+    def send(self, sender: str, to: str, deliver: Call, *args: Any) -> None:
+        """Hand a message over, once, twice or never; late ones overtake."""
+        random = self.random
+        self.sent += 1
+        if (sender, to) in self.cut or random.random() < self.loss:
+            self.lost += 1
+            return
+        for _ in range(2 if random.random() < self.double else 1):
+            wait = random.uniform(*self.delay)
+            if random.random() < self.slow:
+                wait += random.random()
+            self.after(wait, deliver, *args)
+
+    def part(self, one: Iterable[str], other: Iterable[str], both: bool = True) -> None:
+        """Cut the links from `one` to `other`, and back."""
+        for a in one:
+            for b in other:
+                self.cut.add((a, b))
+                if both:
+                    self.cut.add((b, a))
+
+
+class Drifting:
+    """A clock of one machine: monotonic, from anywhere, at a pace that is a little off."""
+
+    def __init__(self, world: World, drift: float) -> None:
+        self.world, self.pace = world, 1 + world.random.uniform(-drift, drift)
+        self.offset = world.random.uniform(0, 1000)
+
+    def now(self) -> float:
+        return self.world.now * self.pace + self.offset
+
+    def world_time(self, mine: float) -> float:
+        """When this clock will show `mine`."""
+        return (mine - self.offset) / self.pace
