--- a/merlintally/cluster/agreement/core.py
+++ b/merlintally/cluster/agreement/core.py
@@ -125,6 +125,7 @@
             if entry.kind == CONFIG:
                 self.configs.append((at, config_of(entry.data)))
         self.role, self.leader, self.now = "follower", "", now
+        self.able = True  # to lead: its disk takes what it is given
         self.peers: dict[str, Peer] = {}
         self.votes: set[str] = set()
         self.round = 0  # of messages to all, for reads
@@ -243,7 +244,7 @@
                 self._beat()
         elif now >= self.election_at:
             self._rest()
-            if self.name in self.config.voters and not self.blank:
+            if self.name in self.config.voters and self.able and not self.blank:
                 self._stand(ahead=True)
 
     def hear(self, now: float, sender: str, call: str, args: tuple[Any, ...]) -> None:
--- /dev/null
+++ b/merlintally/cluster/work/coordinator.py
@@ -0,0 +1,188 @@
+"""What the leader does about turns: calls the next machine, grants once all have heard of it, and says that
+it is out only when nothing can reach it any more. Leads from reports; all that has to last is in the log."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable
+from typing import Any, NamedTuple
+
+from merlintally.cluster.work.order import Choice, Seen, next_turn
+from merlintally.cluster.work.state import CALLED, GRANTED, OUT, Machine, Turn, Work
+
+
+class Terms(NamedTuple):
+    """Times in seconds. A node's right to send lasts `lease_s` by its own clock, from when it asked; the
+    leader waits for `lease_s` and twice the share by which clocks may run unlike, from its last answer."""
+
+    lease_s: float = 3.0
+    renew_s: float = 0.5
+    drift: float = 0.02
+    warm_s: float = 15.0
+
+    @property
+    def silent_s(self) -> float:
+        """After which a node that was answered, and not since, has no right to send any more."""
+        return self.lease_s * (1 + self.drift) / (1 - self.drift)
+
+
+class Report(NamedTuple):
+    """What a node tells with each renewal."""
+
+    start: int
+    acts_on: int  # the index of the last entry by which it acts
+    busy: tuple[int, ...] = ()  # numbers of turns to whose servers something is still out
+    idle: bool = False  # whether it has answered all that it took
+    off: tuple[str, ...] = ()  # servers on the list that its discovery does not list as on
+    rates: dict[str, float] = {}  # executions a second that it sends, by pool
+
+
+class Heard:
+    """What the leader last heard of a node."""
+
+    __slots__ = ("report", "at")
+
+    def __init__(self, report: Report, at: float) -> None:
+        self.report, self.at = report, at
+
+
+class Coordinator:
+    """One leader's time in office. It knows only what it has heard in it, and waits out the rest."""
+
+    def __init__(self, name: str, terms: Terms, now: float, mistakes: frozenset[str] = frozenset()) -> None:
+        self.name, self.terms, self.began, self.mistakes = name, terms, now, mistakes
+        self.heard: dict[str, Heard] = {}
+        self.since: dict[tuple[int, str], float] = {}  # turn and state -> when it was first seen so
+        self.choice = Choice()
+        self.waits: dict[str, str] = {}  # machine with a turn -> what it waits for
+
+    def renewed(self, now: float, node: str, report: Report) -> None:
+        """A node was answered. One that starts anew has none of what its former start had out."""
+        had = self.heard.get(node)
+        if had is None or report.start >= had.report.start:
+            self.heard[node] = Heard(report, now)
+
+    def silent(self, node: str, now: float) -> bool:
+        """Whether its right to send has run out for certain, even if another leader answered it last."""
+        if "a silent node is clear at once" in self.mistakes:
+            return node not in self.heard or now - self.heard[node].at > self.terms.renew_s
+        at = self.heard[node].at if node in self.heard else self.began
+        return now - max(at, self.began) > self.terms.silent_s
+
+    def step(self, now: float, work: Work, seen: Seen) -> tuple[list[tuple[Any, ...]], bool]:
+        """What to propose now, as verb and arguments, and whether leadership is to be handed on first."""
+        wanted: list[tuple[Any, ...]] = []
+        hand_on = False
+        self.waits = {}
+        for turn in work.turns.values():
+            machine = work.machines.get(turn.machine)
+            if machine is None:
+                continue
+            if turn.state == CALLED:
+                waits = self._unheard(now, work, turn, machine)
+                if not waits and self.name in machine.edges:
+                    hand_on, waits = True, "leadership is handed on first"
+                if not waits or "a grant before the call is heard" in self.mistakes:
+                    wanted.append(("grant", turn.number, turn.machine))
+            elif turn.state == GRANTED:
+                waits = self._unclear(now, work, turn, machine)
+                if not waits or "out before all are clear" in self.mistakes:
+                    wanted.append(("out", turn.number, turn.machine))
+            elif turn.state == OUT:
+                waits = self._at_work(now, work, turn)
+            else:
+                waits = self._not_back(now, work, turn, machine)
+                if not waits or "returning does not count" in self.mistakes:
+                    wanted.append(("back", turn.number, turn.machine))
+            self.waits[turn.machine] = waits
+        self.choice = next_turn(work, seen)
+        if self.choice.machine:
+            wanted.append(("call", work.number + 1, self.choice.machine, self.choice.request))
+        held = {(turn.number, turn.state) for turn in work.turns.values()}
+        self.since = {key: at for key, at in self.since.items() if key in held}
+        return wanted, hand_on
+
+    def overdue(self, now: float, work: Work) -> list[str]:
+        """Machines that are out for longer than their request allows."""
+        return [
+            turn.machine
+            for turn in work.turns.values()
+            if turn.state == OUT
+            and 0 < work.requests[turn.request].limit_s < now - self.since.get((turn.number, OUT), now)
+        ]
+
+    def _nodes(self, work: Work) -> Iterable[str]:
+        return sorted(work.edges() | set(self.heard))
+
+    def _gone(self, work: Work, node: str) -> bool:
+        heard = self.heard.get(node)
+        return node in work.gone and (heard is None or heard.report.start <= work.gone[node])
+
+    def _unheard(self, now: float, work: Work, turn: Turn, machine: Machine) -> str:
+        """Who may be alive and does not know yet that the machine is called: it would send there for ever."""
+        refuge, listed = any(one.refuge for one in work.machines.values()), work.edges()
+        for node in self._nodes(work):
+            heard = self.heard.get(node)
+            if heard is not None and heard.report.acts_on >= turn.called_at or self._gone(work, node):
+                continue
+            if heard is not None and node not in listed and heard.report.acts_on >= work.listed_at:
+                continue  # it knows that it is not on the list, and sends nothing
+            if refuge and not machine.refuge and self.silent(node, now):
+                continue
+            return f"{node} has not heard of the call"
+        return ""
+
+    def _unclear(self, now: float, work: Work, turn: Turn, machine: Machine) -> str:
+        """Who may still send to the machine, or has not answered what it took."""
+        for node in self._nodes(work):
+            heard = self.heard.get(node)
+            if self._gone(work, node) or self.silent(node, now):
+                continue
+            if heard is None:
+                return f"{node} is not heard of"
+            if heard.report.acts_on < turn.changed_at:
+                return f"{node} has not heard of the grant"
+            if turn.number in heard.report.busy:
+                return f"{node} still waits for answers of it"
+            if node in machine.edges and not heard.report.idle:
+                return f"{node} has not answered all it took"
+        return ""
+
+    def _at_work(self, now: float, work: Work, turn: Turn) -> str:
+        out = now - self.since.setdefault((turn.number, turn.state), now)
+        limit = work.requests[turn.request].limit_s
+        if 0 < limit < out:
+            return f"overdue: out for {out:.0f} s of {limit:.0f}"
+        return "work done"
+
+    def _not_back(self, now: float, work: Work, turn: Turn, machine: Machine) -> str:
+        """Out until it is proven back: heard, caught up, listed by a majority, and warm."""
+        for node in machine.edges:
+            heard = self.heard.get(node)
+            if heard is None or now - heard.at > 3 * self.terms.renew_s:
+                return f"{node} is not heard of"
+            if heard.report.acts_on < turn.changed_at:
+                return f"{node} has not caught up"
+        live = [one.report for one in self.heard.values() if now - one.at <= 3 * self.terms.renew_s]
+        off = Counter(server for report in live for server in report.off)
+        for server in machine.servers:
+            if 2 * off[server] >= len(live):
+                self.since.pop((turn.number, turn.state), None)
+                return f"{server} is not listed by a majority"
+        warm = now - self.since.setdefault((turn.number, turn.state), now)
+        if machine.servers and warm < self.terms.warm_s:
+            return f"warm in {self.terms.warm_s - warm:.0f} s"
+        return ""
+
+
+def lost(work: Work, dead: Iterable[str], reports: Iterable[Report]) -> frozenset[str]:
+    """Machines without a turn that are out all the same: one of their nodes is dead, or a server is listed by
+    no majority."""
+    live = list(reports)
+    off, down = Counter(server for report in live for server in report.off), set(dead)
+    return frozenset(
+        one.name
+        for one in work.machines.values()
+        if one.name not in work.turns
+        and (down & set(one.edges) or any(2 * off[server] > len(live) > 0 for server in one.servers))
+    )
