Real processes with faults between them, the cluster's shell, and work on machines

Need: what many processes do together has to be shown with processes, links that fail and records that judge, not with a node's opinion of itself.

Change: lab faults (doors for every directed link, process faults down to spoilt folders, scenarios, records and their check), the shell of a cluster's node (log on disk, frames over TCP, datagrams, one owner task, the node's right), the commands cluster and work, lab schedules.

Off without [cluster].

--- a/merlintally/cli/serving.py
+++ b/merlintally/cli/serving.py
@@ -9,9 +9,11 @@
 
 from merlintally.forms import Faults
 from merlintally.net.configuration import Deployment
+from merlintally.net.keeper import Keeper
 from merlintally.net.log import Log, Plain, Style
+from merlintally.net.node import EdgeNode, Part
 from merlintally.net.node import main as run_node
-from merlintally.operators import LogPart, read_operators
+from merlintally.operators import LogPart, Operators, read_operators
 
 
 def style_of(part: LogPart) -> Style:
@@ -24,6 +26,40 @@
 
 def set_log(log: Log, part: LogPart) -> None:
     log.style, log.per_second, log.follows = style_of(part), part.lines_per_s, part.submissions
+    if hasattr(log, "lines"):  # a recording log follows whether or not lines are wanted
+        log.lines, log.follows = part.submissions, True
+
+
+def attach(first: Operators, deployment: Deployment, parts: list[Part]) -> Log:
+    """The node's record, and its part in its cluster, loaded only where the operators' file has them."""
+    from merlintally.cluster.record import Record, RecordingLog, starts_in
+
+    if not first.cluster.name:
+        log = RecordingLog(deployment.name, first.log.lines_per_s)
+        log.record = Record(first.record.file, deployment.name, starts_in(first.record.file) + 1)
+        log.record.add("start")
+        return log
+    from merlintally.cluster.disk import Spoilt
+    from merlintally.cluster.node import ClusterNode, open_disk
+
+    try:
+        disk = open_disk(first.cluster)
+    except Spoilt as wrong:
+        raise Faults([f"cluster.folder: {wrong}"]) from None
+    log = RecordingLog(deployment.name, first.log.lines_per_s)
+    if first.record.file:
+        log.record = Record(first.record.file, deployment.name, disk.start)
+    made: list[ClusterNode] = []  # once: a part that begins again is the same start of the same node
+
+    async def run(node: EdgeNode, keeper: Keeper) -> None:
+        if not made:
+            made.append(
+                ClusterNode(first.cluster, node.deployment.name, node.deployment.seed, disk, log, log.record)
+            )
+        await made[0].run(node, keeper)
+
+    parts.append(run)
+    return log
 
 
 @click.command()
@@ -58,10 +94,15 @@
         except Faults as wrong:
             log.say(f"{wrong}; the old operators' file stays in force", "operators.faulty")
 
+    parts: list[Part] = []
+
     def make_log(deployment: Deployment) -> Log:
-        log = Log(deployment.name, first.log.lines_per_s)
+        if first.cluster.name or first.record.file:
+            log = attach(first, deployment, parts)
+        else:
+            log = Log(deployment.name, first.log.lines_per_s)
         set_log(log, first.log)
         log.reread = reread
         return log
 
-    return run_node(make_log)
+    return run_node(make_log, parts)
--- /dev/null
+++ b/merlintally/cluster/bounds.py
@@ -0,0 +1,48 @@
+"""The times that the settings promise, computed at one place: `cluster explain` prints them with their
+parts."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from merlintally.cluster.work.coordinator import Terms
+from merlintally.operators import ClusterPart
+
+SENT_S = 0.3  # the longest that a message and its write to disk are taken to last where nothing is at fault
+
+
+class Stated(NamedTuple):
+    """A time in seconds and what it is made of."""
+
+    name: str
+    stated_s: float
+    parts: str
+
+
+def bounds_of(part: ClusterPart) -> list[Stated]:
+    """
+    >>> [(row.name, round(row.stated_s, 2)) for row in bounds_of(ClusterPart())]
+    [('new leader', 3.9), ('right gone', 3.12), ('work goes on', 7.52)]
+    """
+    terms = Terms(part.lease_s, part.renew_s, part.drift_share, part.warm_s)
+    # the old one is missed, one vote may be split, then a vote ahead and a vote
+    elected = 2 * 2 * part.election_s * (1 + part.drift_share) + part.election_s + 4 * SENT_S + 0.16
+    elected = round(elected, 1)
+    return [
+        Stated(
+            "new leader",
+            elected,
+            f"2 x 2 x election_s ({part.election_s:g}) for one split vote, election_s until votes are given, "
+            f"4 messages of {SENT_S:g}, drift",
+        ),
+        Stated(
+            "right gone",
+            terms.silent_s,
+            f"lease_s ({part.lease_s:g}) by the slowest clock, drift_share ({part.drift_share:g}) either way",
+        ),
+        Stated(
+            "work goes on",
+            elected + terms.silent_s + part.renew_s,
+            "new leader, then a right that the old one may have given, then one renewal",
+        ),
+    ]
--- a/merlintally/cluster/core.py
+++ b/merlintally/cluster/core.py
@@ -11,11 +11,13 @@
 from random import Random
 from typing import Any, NamedTuple
 
+import msgspec
+
 from merlintally.cluster import agreement, members
 from merlintally.cluster.agreement import Config, Entry, Kept, Pace, Raft
 from merlintally.cluster.agreement.log import DATA
 from merlintally.cluster.members import Members, Rhythm
-from merlintally.cluster.members.core import DEAD, LEFT, STATES
+from merlintally.cluster.members.core import DEAD, LEFT, START, STATES
 from merlintally.cluster.work.coordinator import Coordinator, Report, Terms, lost
 from merlintally.cluster.work.edge import Edge
 from merlintally.cluster.work.order import Seen
@@ -142,6 +144,13 @@
             if self.leads or asker or not self._leader():
                 self._answer(id_, asker, True, json.dumps(self.status(now)))
                 return
+        elif verb == "machines?":
+            self._answer(id_, asker, True, msgspec.json.encode(list(self.work.machines.values())).decode())
+            return
+        elif verb == "starts?":
+            one = self.members.known.get(str(args[0]))
+            self._answer(id_, asker, True, str(one.incarnation // START if one is not None else 0))
+            return
         elif self.raft.role == "leader" and verb == "turn":
             # guards against people who touch a machine since a node that is behind still holds it to be out
             self.raft.read(now, (id_, asker, str(args[0])))
--- /dev/null
+++ b/merlintally/lab/faults/play.py
@@ -0,0 +1,505 @@
+"""Plays a scenario: real node processes on loopback, links that the scenario controls, people at work.
+
+Every process and port that it starts is ended, also on an interrupt. What is judged is in the folder of
+records.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import resource
+import secrets
+import shutil
+import signal
+import subprocess
+import sys
+import time
+from collections import Counter
+from pathlib import Path
+from typing import Any
+
+from merlintally.forms import Faults
+from merlintally.lab.faults.check import check, rows_of
+from merlintally.lab.faults.links import KINDS, Net, state_of
+from merlintally.lab.faults.scenario import FaultForm, Scenario
+from merlintally.lab.front import Try
+from merlintally.lab.live.play import Live
+from merlintally.lab.live.processes import RealNode, lines_of
+from merlintally.lab.live.standins import HOST
+from merlintally.lab.play import latest
+from merlintally.lab.record import Record
+from merlintally.lab.referee import Referee
+from merlintally.lab.servers import Server
+
+SECRET, LEADER_S = "of the laboratory", 60.0
+
+
+class Book:
+    """The record of the parties round the nodes: clients and app servers."""
+
+    def __init__(self, path: Path) -> None:
+        self.file = path.open("a", encoding="utf-8")
+
+    def add(self, event: str, **fields: Any) -> None:
+        row = {"at": round(time.monotonic(), 6), "node": "witness", "start": 1, "event": event, **fields}
+        self.file.write(json.dumps(row) + "\n")
+
+
+class Witness(Referee):
+    """The referee, who also writes down what clients and app servers saw."""
+
+    diary: Book
+
+    def taken(self, node: str, trying: Try, now: float) -> None:
+        super().taken(node, trying, now)
+        self.diary.add("taken", id=f"{trying.id:016x}", by=node)
+
+    def answered(self, node: str, trying: Try, kind: str, now: float) -> None:
+        super().answered(node, trying, kind, now)
+        self.diary.add("answered", id=f"{trying.id:016x}", by=node, how=kind)
+
+    def reached(self, trying: Try, number: int, server: Server, now: float) -> None:
+        super().reached(trying, number, server, now)
+        self.diary.add("received", server=server.name, id=f"{trying.id:016x}", execution=number)
+
+
+class FaultNode(RealNode):
+    """A node process behind doors, with an operators' file where the scenario has a cluster."""
+
+    live: FaultLive
+
+    def __init__(self, live: FaultLive, number: int) -> None:
+        super().__init__(live, number)
+        self.cluster_port = 0
+        self.touched = False  # people are at its machine
+        self.held = False  # a fault keeps it down
+        self.state = self.folder / "state"
+
+    def configuration(self) -> dict[str, Any]:
+        found = super().configuration()
+        for party in ("counter", "discovery"):
+            found[party] = f"{HOST}:{self.live.doors[self.name, party]}"
+        return found
+
+    def operators(self) -> Path:
+        form, live = self.live.scenario.cluster, self.live
+        path = self.folder / "operators.toml"
+        rows = ["[record]", f"file = {json.dumps(str(live.records / f'{self.name}.jsonl'))}"]
+        if form is not None:
+            others = {
+                other.name: f"{HOST}:{live.doors[self.name, other.name]}"
+                for other in live.nodes
+                if other.name != self.name
+            }
+            own = {self.name: f"{HOST}:{self.cluster_port}"}
+            voters = [f"n{at}" for at in range(form.voters)]
+            rows += [
+                "[cluster]",
+                'name = "lab"',
+                f"folder = {json.dumps(str(self.state))}",
+                f'secret = "{SECRET}"',
+                f'listen = "{own[self.name]}"',
+                f"voters = {json.dumps(voters)}",
+            ]
+            rows += [
+                f"{key} = {getattr(form, key)}"
+                for key in ("heartbeat_s", "election_s", "period_s", "lease_s", "renew_s", "drift_share")
+            ]
+            warm = live.scenario.work.warm_s if live.scenario.work is not None else 0.5
+            rows += [f"warm_s = {warm}"]
+            for key, table in (("seeds", own | others), ("routes", others)):
+                rows += [f"[cluster.{key}]", *(f'{name} = "{where}"' for name, where in table.items())]
+        path.write_text("\n".join(rows) + "\n")
+        return path
+
+    def start(self) -> None:
+        self.starts += 1
+        path = self.write()
+        operators = self.operators()
+        if (
+            self.starts == 1
+            and self.live.scenario.cluster is not None
+            and self.number < self.live.scenario.cluster.voters
+        ):
+            self._run("cluster", "init", "--operators", str(operators)).wait(20)
+        self.process = self._run("serve", "--config", str(path), "--operators", str(operators))
+        self.alive, self.stopped = True, False
+
+    def _run(self, *args: str) -> subprocess.Popen[bytes]:
+        environment = {
+            "PATH": os.environ.get("PATH", ""),
+            "PYTHONPATH": str(Path(__file__).resolve().parents[3]),
+        }
+        command = [
+            sys.executable,
+            "-c",
+            "import sys; from merlintally.cli import main; sys.exit(main())",
+            *args,
+        ]
+        return subprocess.Popen(command, env=environment, stdout=subprocess.DEVNULL, stderr=self.log)
+
+
+class FaultLive(Live):
+    """One scenario in real time."""
+
+    def __init__(self, scenario: Scenario, seed: int, folder: Path) -> None:
+        self.scenario, self.records = scenario, folder / "records"
+        self.records.mkdir(parents=True)
+        super().__init__(scenario.played_day(), seed, folder)
+        witness = Witness(self.world.day, self.world.started, Record())
+        witness.diary = self.book = Book(self.records / "witness.jsonl")
+        self.world.referee = witness
+        self.net = Net(seed)
+        self.doors: dict[tuple[str, str], int] = {}
+        self.caused: Counter[str] = Counter()
+        self.rounds_done = self.turns = 0
+        self.leaderless: list[float] = []
+        self.unfinished: list[str] = []
+        self.begun = 0.0
+
+    def node(self, number: int) -> RealNode:
+        return FaultNode(self, number)
+
+    def passes(self, sender: int, to: int) -> bool:
+        return not (self.net.state(f"n{sender}", "notes").cut or self.net.state("notes", f"n{to}").cut)
+
+    @property
+    def fault_nodes(self) -> list[FaultNode]:
+        return [one for one in self.nodes if isinstance(one, FaultNode)]
+
+    async def prepare(self) -> None:
+        """Doors for every pair, before the first node starts."""
+        for node in self.fault_nodes:
+            for party, port in (
+                ("counter", self.counters[node.number].port),
+                ("discovery", self.agents[node.number].port),
+            ):
+                self.doors[node.name, party] = await self.net.door(node.name, party, port)
+            if self.scenario.cluster is not None:
+                node.cluster_port = self.free_port()
+        if self.scenario.cluster is not None:
+            for a in self.fault_nodes:
+                for b in self.fault_nodes:
+                    if a is not b:
+                        self.doors[a.name, b.name] = await self.net.door(a.name, b.name, b.cluster_port, True)
+
+    async def begin(self) -> None:
+        """The load has begun: so do faults and work."""
+        self.begun = time.monotonic()
+        for fault in self.scenario.timetable(self.world.seed):
+            self.spawn(self._cause(fault))
+        if self.scenario.work is not None:
+            self.spawn(self._people())
+
+    # Faults.
+
+    async def _cause(self, fault: FaultForm) -> None:
+        await asyncio.sleep(max(0.0, self.begun + fault.at_s - time.monotonic()))
+        node = await self._node_of(fault.of)
+        self.caused[fault.kind] += 1
+        self.book.add(
+            "fault",
+            kind=fault.kind,
+            of=fault.of if node is None else node.name,
+            to=fault.to,
+            lasts_s=round(fault.lasts_s, 3),
+        )
+        if fault.kind in KINDS:
+            await self._link(fault, node.name if node is not None else fault.of)
+        elif fault.kind == "kill-all":
+            await asyncio.gather(*(self._process("kill", one, fault.lasts_s) for one in self.fault_nodes))
+        elif node is not None:
+            await self._process(fault.kind, node, fault.lasts_s)
+
+    async def _node_of(self, name: str) -> FaultNode | None:
+        if name == "leader":
+            name = await self.leader()
+        if name in ("any", ""):
+            return self.net.random.choice(self.fault_nodes)
+        return next((one for one in self.fault_nodes if one.name == name), None)
+
+    async def _link(self, fault: FaultForm, a: str) -> None:
+        others = [one.name for one in self.fault_nodes if one.name != a]
+        pairs = [(a, b) for b in (others if fault.to == "all" else [fault.to])]
+        if fault.kind != "one-way":
+            pairs += [(b, a) for a, b in pairs]
+        resets = fault.kind == "reset"
+        for a, b in pairs:
+            await self.net.change(a, b, state_of(fault.kind, fault.size), resets)
+        await asyncio.sleep(fault.lasts_s)
+        for a, b in pairs:
+            await self.net.change(a, b, None, resets)
+
+    async def _process(self, kind: str, node: FaultNode, lasts: float) -> None:
+        """One process fails, and comes back after a while, with whatever folder."""
+        if node.touched or node.held or not node.alive or node.stopped:
+            self.caused[kind] -= 1
+            return
+        node.held = True
+        led = await self.leader() if kind in ("kill", "stop") else ""
+        try:
+            if kind == "stop":
+                node.hang()
+                self._missed(node, led)
+                await asyncio.sleep(lasts)
+                node.resume()
+            elif kind == "full":
+                await self._full(node, lasts)
+            elif kind == "leave":
+                ended = asyncio.get_running_loop().create_future()
+                node.retire(lambda: ended.set_result(None))
+                await ended
+                await asyncio.sleep(min(lasts, 1.0))
+                await self._up(node)
+            else:
+                copy = node.folder / "older"
+                if kind == "older":
+                    shutil.rmtree(copy, ignore_errors=True)
+                    shutil.copytree(node.state, copy)
+                    await asyncio.sleep(lasts)
+                node.kill()
+                self._missed(node, led)
+                await asyncio.sleep(0.3 if kind == "older" else lasts)
+                self._spoil(kind, node, copy)
+                if kind == "spoilt":
+                    node.start()
+                    code = await asyncio.to_thread(node.process.wait, 20.0) if node.process is not None else 0
+                    node.alive = False
+                    if code != 2:
+                        self.unfinished.append(
+                            f"{node.name} with a spoilt record ended with exit code {code}, not 2"
+                        )
+                    shutil.rmtree(node.state)
+                await self._up(node)
+        finally:
+            node.held = False
+
+    def _spoil(self, kind: str, node: FaultNode, copy: Path) -> None:
+        log = node.state / "agreement.log"
+        if kind == "older":
+            shutil.rmtree(node.state)
+            os.replace(copy, node.state)
+        elif kind == "empty":
+            shutil.rmtree(node.state, ignore_errors=True)
+        elif kind == "torn" and log.exists():
+            os.truncate(log, max(0, log.stat().st_size - 3))
+        elif kind == "spoilt":
+            data = bytearray(log.read_bytes())
+            data[30] ^= 0xFF
+            log.write_bytes(data)
+
+    async def _full(self, node: FaultNode, lasts: float) -> None:
+        """Its files may not grow any more (RLIMIT_FSIZE)."""
+        assert node.process is not None
+        pid = node.process.pid
+        soft, hard = resource.prlimit(pid, resource.RLIMIT_FSIZE)
+        resource.prlimit(
+            pid, resource.RLIMIT_FSIZE, ((node.state / "agreement.log").stat().st_size + 16, hard)
+        )
+        await asyncio.sleep(lasts)
+        with contextlib.suppress(ProcessLookupError):
+            resource.prlimit(pid, resource.RLIMIT_FSIZE, (soft, hard))
+
+    async def _up(self, node: FaultNode) -> None:
+        done = asyncio.get_running_loop().create_future()
+        node.restart(lambda: done.set_result(None))
+        try:
+            await asyncio.wait_for(done, 20.0)
+        except TimeoutError:
+            self.unfinished.append(f"{node.name} did not answer again")
+
+    def _missed(self, node: FaultNode, led: str) -> None:
+        if node.name == led:
+            self.spawn(self._until_led(node.name, time.monotonic()))
+
+    async def _until_led(self, old: str, since: float) -> None:
+        while time.monotonic() - since < LEADER_S:
+            found = await self.leader(but=old)
+            if found and found != old:
+                self.leaderless.append(time.monotonic() - since)
+                return
+            await asyncio.sleep(0.02)
+
+    # People.
+
+    async def ask(self, verb: str, args: list[Any], id_: str = "", patience: float = 40.0) -> str | None:
+        """Ask nodes of chance until one has done it; None where nobody did in time or it was refused."""
+        from merlintally.cluster.links import Bad
+        from merlintally.cluster.links import ask as ask_one
+
+        id_, ends = id_ or secrets.token_hex(8), time.monotonic() + patience
+        while time.monotonic() < ends:
+            node = self.net.random.choice(self.fault_nodes)
+            if node.alive and not node.stopped:
+                with contextlib.suppress(OSError, TimeoutError, Bad, EOFError, Exception):
+                    ok, text = await ask_one((HOST, node.cluster_port), "lab", SECRET, id_, verb, args, 3.0)
+                    if ok:
+                        return text
+                    if "again" not in text:
+                        return None
+            await asyncio.sleep(0.05)
+        return None
+
+    async def leader(self, but: str = "") -> str:
+        """Who leads, by the word of the highest term among those that can be asked."""
+        if self.scenario.cluster is None:
+            return ""
+        from merlintally.cluster.links import ask as ask_one
+
+        best = (0, "")
+
+        async def one(node: FaultNode) -> None:
+            nonlocal best
+            with contextlib.suppress(Exception):
+                _, text = await ask_one(
+                    (HOST, node.cluster_port), "lab", SECRET, secrets.token_hex(4), "status", [], 0.5
+                )
+                told = json.loads(text)
+                if told["leads"]:
+                    best = max(best, (told["term"], told["node"]))
+
+        await asyncio.gather(
+            *(one(node) for node in self.fault_nodes if node.alive and not node.stopped and node.name != but)
+        )
+        return best[1]
+
+    async def _people(self) -> None:
+        work = self.scenario.work
+        assert work is not None
+        await asyncio.sleep(work.at_s)
+        count = len(self.fault_nodes)
+        rows = [
+            {
+                "name": f"m{at}",
+                "pool": f"p{at % work.pools}",
+                "zone": f"z{at % work.zones}",
+                "edges": [f"n{at}"],
+                "servers": [name for number, name in enumerate(self.servers) if number % count == at],
+            }
+            for at in range(count)
+        ]
+        if await self.ask("machines", ["people", rows], patience=LEADER_S) is None:
+            self.unfinished.append("no list of machines was agreed on")
+            return
+        for number in range(work.rounds):
+            if number and time.monotonic() > self.begun + self.scenario.seconds - 6.0:
+                return
+            names = [row["name"] for row in rows]
+            if (
+                await self.ask(
+                    "request",
+                    [f"r{number}", "people", "kernel", names, [work.total, work.pool, work.zone], 0.0],
+                    f"request:r{number}",
+                    LEADER_S,
+                )
+                is None
+            ):
+                self.unfinished.append(f"request r{number} was not taken")
+                return
+            await asyncio.gather(*(self._touch(node, f"m{at}") for at, node in enumerate(self.fault_nodes)))
+            self.rounds_done += 1
+
+    async def _touch(self, node: FaultNode, machine: str) -> None:
+        """Wait until a machine is out, work on it with its process down, say that it is done."""
+        work = self.scenario.work
+        assert work is not None
+        ends = time.monotonic() + 60.0 + 20.0 * len(self.nodes)
+        while time.monotonic() < ends:
+            text = await self.ask("turn", [machine])
+            turn = json.loads(text) if text else {"state": "", "asked_for": True}
+            if turn["state"] == "out":
+                break
+            if not turn["asked_for"]:
+                return
+            await asyncio.sleep(0.1)
+        else:
+            self.unfinished.append(f"{machine} was not out in time")
+            return
+        while node.held:
+            await asyncio.sleep(0.05)
+        node.touched = True
+        try:
+            self.turns += 1
+            if node.alive:
+                node.kill()
+            await asyncio.sleep(self.net.random.uniform(*work.work_s))
+            await self._up(node)
+        finally:
+            node.touched = False
+        if await self.ask("done", [machine, "people"], f"done:{machine}:{turn['number']}", LEADER_S) is None:
+            self.unfinished.append(f"{machine}: done was not taken")
+
+    @property
+    def busy(self) -> bool:
+        """Whether people or faults have still something to do."""
+        return any(one.touched or one.held for one in self.fault_nodes) or (
+            self.scenario.work is not None and not self.rounds_done and not self.unfinished
+        )
+
+
+async def _play(live: FaultLive) -> None:
+    day = live.world.day
+    most = latest(day) + (120.0 + 40.0 * len(live.nodes) if live.scenario.work is not None else 60.0)
+    await asyncio.wait_for(live.run(), most + 60.0)
+
+
+def play(scenario: Scenario, seed: int, folder: Path) -> dict[str, Any]:
+    """Play it, its records in `folder`; gives what the shape says: broken, finished, submissions, faults,
+    worst."""
+    if folder.exists() and any(folder.iterdir()):
+        raise Faults([f"{folder}: is not empty"])
+    folder.mkdir(parents=True, exist_ok=True)
+
+    async def all_of_it() -> FaultLive:
+        live = FaultLive(scenario, seed, folder)
+        try:
+            await _play(live)
+        finally:
+            live.net.close()
+            live.book.file.close()
+        return live
+
+    live = asyncio.run(all_of_it())
+    found = check(live.records)
+    for one in live.world.referee.breaches:
+        found["broken"].append({"promise": f"rule {one.rule}", "lines": [str(one), ""]})
+    found |= {
+        "scenario": scenario.name,
+        "seed": seed,
+        "processes": scenario.processes,
+        "seconds": scenario.seconds,
+        "finished": not live.unfinished,
+        "unfinished": live.unfinished,
+        "faults": dict(live.caused),
+        "work": {"rounds": live.rounds_done, "turns": live.turns},
+        "notices": live.world.notices[:10],
+        "worst": worst_of(live, rows_of(live.records)),
+        "log": list(lines_of(folder, 2)),
+    }
+    return found
+
+
+def worst_of(live: FaultLive, rows: list[dict[str, Any]]) -> dict[str, list[float]]:
+    """Name -> measured and stated, seconds."""
+    form = live.scenario.cluster
+    if form is None:
+        return {}
+    import msgspec
+
+    from merlintally.cluster.bounds import bounds_of
+    from merlintally.operators import ClusterPart
+
+    part = ClusterPart(**{key: value for key, value in msgspec.to_builtins(form).items() if key != "voters"})
+    stated = {row.name: row.stated_s for row in bounds_of(part)}
+    found = {}
+    if live.leaderless:
+        found["new leader"] = [round(max(live.leaderless), 3), round(stated["new leader"], 3)]
+    return found
+
+
+def interrupted() -> None:
+    """SIGTERM ends a play as an interrupt does, so that every process of it is ended."""
+    signal.signal(signal.SIGTERM, lambda *_: signal.raise_signal(signal.SIGINT))
--- a/merlintally/lab/live/play.py
+++ b/merlintally/lab/live/play.py
@@ -51,6 +51,28 @@
             sock.bind((HOST, 0))
             return int(sock.getsockname()[1])
 
+    def door(self, node: str, server: str) -> int:
+        """The port by which an edge node reaches an app server."""
+        return self.servers[server].port
+
+    def passes(self, sender: int, to: int) -> bool:
+        """Whether the way of notes from one edge node to another is open."""
+        return True
+
+    def node(self, number: int) -> RealNode:
+        return RealNode(self, number)
+
+    async def prepare(self) -> None:
+        """Stand-ins listen, and no node has started yet."""
+
+    async def begin(self) -> None:
+        """All nodes have answered, and the load has begun."""
+
+    @property
+    def busy(self) -> bool:
+        """Whether something beside the load is still to be done."""
+        return False
+
     def spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
         task = asyncio.get_running_loop().create_task(work)
         self.tasks.add(task)
@@ -92,9 +114,10 @@
             await asyncio.gather(agent.open(), counter.open())
             agent.hear(list(world.discovery.entries.values()), True)
             world.discovery.listeners[agent.name] = agent.hear
-        self.nodes.extend(RealNode(self, number) for number in range(day.fleet.gateways))
+        self.nodes.extend([self.node(number) for number in range(day.fleet.gateways)])
         world.nodes.extend(self.nodes)
         try:
+            await self.prepare()
             for node in self.nodes:
                 node.start()
             if not all(await asyncio.gather(*(node.ready() for node in self.nodes))):
@@ -103,10 +126,13 @@
             world.agenda.now = world.started = world.referee.started = self.pump.tick()
             world.open()
             self.pump.late = 0.0
+            await self.begin()
             ends = world.started + latest(day)
 
             def over() -> bool:
                 now = world.agenda.now
+                if self.busy:
+                    return False
                 return now >= ends or (now >= world.started + day.length_s and not world.referee.open)
 
             await self.pump.run(over)
--- a/merlintally/lab/live/standins.py
+++ b/merlintally/lab/live/standins.py
@@ -213,7 +213,7 @@
         rows = [
             {
                 "name": name,
-                "address": f"{HOST}:{live.servers[name].port}",
+                "address": f"{HOST}:{live.door(self.name, name)}",
                 "zone": f"z{zone}",
                 "type": "m",
                 "group": cell,
@@ -328,7 +328,8 @@
         world = self.live.world
         self.live.pump.tick()
         for node in self.live.nodes:
-            if node.number != self.number and node.alive and world.dice.random() >= world.notes_lost:
+            lost = world.dice.random() < world.notes_lost or not self.live.passes(self.number, node.number)
+            if node.number != self.number and node.alive and not lost:
                 world.referee.counts["note bytes"] += len(data)
                 world.agenda.after(
                     world.dice.uniform(*world.day.notes.late_s), self._pass, data, node.peer_port
--- a/merlintally/operators/file.py
+++ b/merlintally/operators/file.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import re
+from collections.abc import Iterator
 from pathlib import Path
 from typing import Annotated, Literal
 
@@ -32,11 +34,90 @@
     processes: Annotated[int, Meta(ge=1, le=256, description="days played side by side by `lab run`")] = 4
 
 
+WHERE = r"^[0-9.]+:[0-9]{1,5}$"
+
+
+class ClusterPart(Struct, frozen=True, forbid_unknown_fields=True):
+    """Many nodes as one: agreement, members, the order of work. Off where `name` is empty."""
+
+    name: Annotated[str, Meta(max_length=64, description="the cluster's; nodes of another are not heard")] = (
+        ""
+    )
+    folder: Annotated[str, Meta(description="where this node keeps its log; its own alone")] = ""
+    listen: Annotated[
+        str, Meta(description="IPv4 address and port for other nodes, over TCP and UDP alike")
+    ] = ""
+    secret: Annotated[
+        str,
+        Meta(
+            max_length=256, description="known to all nodes and operators of this cluster, and to no others"
+        ),
+    ] = ""
+    voters: Annotated[
+        tuple[str, ...], Meta(description="names of the nodes that vote first: one, three, five or seven")
+    ] = ()
+    seeds: Annotated[
+        dict[str, str], Meta(description="addresses of some nodes by name, the first voters among them")
+    ] = {}
+    routes: Annotated[
+        dict[str, str],
+        Meta(description="addresses to reach nodes by, where they differ from those they tell"),
+    ] = {}
+    heartbeat_s: Annotated[float, Meta(gt=0, le=10, description="between a leader's messages, seconds")] = 0.1
+    election_s: Annotated[
+        float,
+        Meta(gt=0, le=60, description="without a leader, to twice of it, until one is elected, seconds"),
+    ] = 0.5
+    period_s: Annotated[
+        float, Meta(gt=0, le=60, description="between a node's probes of others, seconds")
+    ] = 1.0
+    lease_s: Annotated[
+        float,
+        Meta(gt=0, le=600, description="for which a node may go on sending to a called machine, seconds"),
+    ] = 3.0
+    renew_s: Annotated[float, Meta(gt=0, le=60, description="between renewals of that right, seconds")] = 0.5
+    drift_share: Annotated[
+        float,
+        Meta(ge=0, le=0.2, description="by which the clocks of two machines may run unlike, a part of 1"),
+    ] = 0.02
+    warm_s: Annotated[
+        float, Meta(ge=0, le=3600, description="after its return, until a machine counts as warm, seconds")
+    ] = 15.0
+
+    def faults(self) -> Iterator[tuple[str, str]]:
+        if not self.name:
+            return
+        for key in ("folder", "listen", "voters"):
+            if not getattr(self, key):
+                yield key, "is missing"
+        if len(self.voters) not in (0, 1, 3, 5, 7) or len(set(self.voters)) < len(self.voters):
+            yield "voters", f"{len(self.voters)} names, not one, three, five or seven different ones"
+        for voter in self.voters:
+            if voter not in self.seeds:
+                yield "seeds", f"has no address of voter {voter}"
+        for key, rows in (("seeds", self.seeds), ("routes", self.routes), ("", {"listen": self.listen})):
+            for name, where in rows.items():
+                if where and not re.fullmatch(WHERE, where):
+                    yield f"{key}.{name}".lstrip("."), f"{where!r} is no IPv4 address with a port"
+        if self.election_s < 3 * self.heartbeat_s:
+            yield "election_s", f"{self.election_s:g} is below three times heartbeat_s"
+        if self.lease_s < 3 * self.renew_s:
+            yield "lease_s", f"{self.lease_s:g} is below three times renew_s"
+
+
+class RecordPart(Struct, frozen=True, forbid_unknown_fields=True):
+    """The node's own record of what it did, for `lab faults check`."""
+
+    file: Annotated[str, Meta(description="one JSON object a line is added to it; empty: off")] = ""
+
+
 class Operators(Struct, frozen=True, forbid_unknown_fields=True):
     """All sections; each may be left out."""
 
     log: LogPart = LogPart()
     lab: LabPart = LabPart()
+    cluster: ClusterPart = ClusterPart()
+    record: RecordPart = RecordPart()
 
 
 def read_operators(path: str | Path) -> Operators:
