--- a/merlintally/cluster/agreement/core.py
+++ b/merlintally/cluster/agreement/core.py
@@ -47,13 +47,13 @@
     "acknowledges before sync",
     "counts itself before sync",
     "votes for a shorter log",
-    "overwrites what is committed",
+    "cuts without a conflict",
     "commit beyond what is here",
     "minority commits",
     "reads without a round",
     "two changes at once",
-    "snapshot keeps a foreign tail",
-    "old term's append taken",
+    "snapshot without its state",
+    "a refusal counts as held",
     "learner counts as a voter",
 )
 
@@ -344,10 +344,13 @@
             self._follow(self.term)
 
     def _majority(self, names: Iterable[str]) -> bool:
-        counted = set(self.config.all if "learner counts as a voter" in self.mistakes else self.config.voters)
+        voters = set(self.config.voters)
+        counted = len(
+            (set(self.config.all) if "learner counts as a voter" in self.mistakes else voters) & set(names)
+        )
         if "minority commits" in self.mistakes:
-            return 2 * len(counted & set(names)) >= len(counted)
-        return 2 * len(counted & set(names)) > len(counted)
+            return 2 * counted >= len(voters)
+        return 2 * counted > len(voters)
 
     # Entries, on the leader.
 
@@ -406,7 +409,7 @@
         if self.role != "leader" or term != self.term or peer is None or index > self.log.last:
             return
         peer.heard_at, peer.round = self.now, max(peer.round, round_)
-        if ok:
+        if ok or "a refusal counts as held" in self.mistakes:
             peer.match = max(peer.match, index)
             peer.next = max(peer.next, peer.match + 1)
             peer.probing, peer.sent = False, -1
@@ -474,7 +477,7 @@
         commit: int,
         round_: int,
     ) -> None:
-        if term < self.term and "old term's append taken" not in self.mistakes:
+        if term < self.term:
             self._send(sender, "took", (self.term, False, 0, 0))  # which unseats it
             return
         if self.role == "leader" and term == self.term:
@@ -482,9 +485,8 @@
         self._heard_leader(sender, term)
         if before < self.commit:  # what is committed is the same everywhere
             skip = min(self.commit - before, len(entries))
-            if "overwrites what is committed" not in self.mistakes:
-                before, entries = before + skip, entries[skip:]
-                before_term = self.log.term_at(before) or 0
+            before, entries = before + skip, entries[skip:]
+            before_term = self.log.term_at(before) or 0
             if before < self.log.snapshot.upto:
                 self._send(sender, "took", (self.term, True, self.commit, round_), durable=True)
                 return
@@ -492,7 +494,7 @@
             self._send(sender, "took", (self.term, False, self._parted(before), round_), durable=True)
             return
         for at, entry in enumerate(entries, before + 1):
-            if self.log.term_at(at) != entry.term:
+            if self.log.term_at(at) != entry.term or "cuts without a conflict" in self.mistakes:
                 if at <= self.log.last:
                     self._cut(at)
                 more = entries[at - before - 1 :]
@@ -568,7 +570,9 @@
         self.pieces = None
         self._reach(Snapshot(index, shot_term, config, bytes(held)))
         self.commit = self.applied = index
-        self.results.restored, self.results.applied = self.log.snapshot, []
+        self.results.applied = []
+        if "snapshot without its state" not in self.mistakes:
+            self.results.restored = self.log.snapshot
         self._send(sender, "took", (self.term, True, index, 0), durable=True)
 
     def _pieced(self, sender: str, term: int, index: int, held: int) -> None:
@@ -580,7 +584,7 @@
 
     def _reach(self, shot: Snapshot) -> None:
         last = self.log.last
-        if "snapshot keeps a foreign tail" in self.mistakes and last > shot.upto:
+        if "snapshot without its state" in self.mistakes and last > shot.upto:
             self.log.entries = self.log.entries[shot.upto - self.log.snapshot.upto :]
             self.log.snapshot = shot
         elif not self.log.reach(shot) and last > shot.upto:
--- a/merlintally/cluster/core.py
+++ b/merlintally/cluster/core.py
@@ -469,7 +469,7 @@
             return
         self.proposed = {key: index for key, index in self.proposed.items() if index > self.work.index}
         for verb, *args in wanted:
-            key = f"{verb}:{':'.join(map(str, args))}"
+            key = ":".join(map(str, (verb, *args)))
             if key not in self.proposed:
                 index = self.raft.propose(
                     self.now, entry(f"{key}:{self.raft.term}:{self.raft.log.last}", verb, *args)
--- a/merlintally/cluster/work/edge.py
+++ b/merlintally/cluster/work/edge.py
@@ -34,7 +34,7 @@
             self.caught_up = True
             self.until = max(self.until, late)
 
-    def may_take(self, now: float, lease_s: float) -> bool:
+    def may_take(self, now: float, lease_s: float = 0.0) -> bool:
         """Whether a new submission may be taken."""
         if not self.caught_up or self.said_gone or (self.work.machines and self.own is None):
             return False
--- a/merlintally/lab/faults/play.py
+++ b/merlintally/lab/faults/play.py
@@ -431,6 +431,13 @@
             node.touched = False
         if await self.ask("done", [machine, "people"], f"done:{machine}:{turn['number']}", LEADER_S) is None:
             self.unfinished.append(f"{machine}: done was not taken")
+            return
+        while time.monotonic() < ends:  # it counts as out until it is proven back
+            text = await self.ask("turn", [machine])
+            if text and json.loads(text)["number"] != turn["number"]:
+                return
+            await asyncio.sleep(0.1)
+        self.unfinished.append(f"{machine} was not back in time")
 
     @property
     def busy(self) -> bool:
