Discovery is asked again at once after an answer: no drain counts as told in a pause

Checked: the list changed at 12.77 s and counted as told at 12.83 s for nodes whose last call was answered at 11.3 s and that paused until 12.87 s or later. Excluded: a watch whose answer is waited for too long (no call timed out), a pause after a refusal.

At fault: the pause in Discovery._follow behind a good answer (Backoff.worked). Change: it is gone; the pause behind a refusal stays.

--- a/merlintally/net/backoff.py
+++ b/merlintally/net/backoff.py
@@ -11,15 +11,15 @@
     A party that fails is asked again after `first` to `most`, over a range that doubles with each failure in
     a row. One that is overloaded works also on calls that nobody waits for any more, and answers none in
     time until all ask less: a refusal opens a pause of `spared`, each further one doubles it up to
-    `spared_most`, and each answer shortens it again. It is kept before every call, the next good one too.
+    `spared_most`, and each answer shortens the next one.
 
     >>> waits = Backoff(random.Random(1), 0.1, 5.0, 4.0, 20.0)
     >>> [round(waits.failed(), 2) for _ in range(6)]
     [0.11, 0.35, 0.63, 0.48, 1.64, 2.3]
     >>> [round(waits.refused(), 1) for _ in range(3)], waits.pause
     ([4.6, 10.3, 9.5], 16.0)
-    >>> round(waits.worked(), 1), waits.failures
-    (5.1, 0)
+    >>> waits.worked(); round(waits.pause, 1), waits.failures
+    (9.6, 0)
     """
 
     def __init__(self, dice: random.Random, first: float, most: float, spared: float,
@@ -36,12 +36,8 @@
     def refused(self) -> float:
         """Seconds to wait after a refusal by one that is overloaded."""
         self.pause = min(self.spared_most, max(self.spared, 2 * self.pause))
-        return self._drawn()
+        return self.pause * self.dice.uniform(0.5, 1.5)
 
-    def worked(self) -> float:
-        """Seconds to wait after an answer: 0 but where it was overloaded lately."""
+    def worked(self) -> None:
+        """It has answered."""
         self.failures, self.pause = 0, self.pause * 0.6 if self.pause > self.spared / 4 else 0.0
-        return self._drawn()
-
-    def _drawn(self) -> float:
-        return self.pause * self.dice.uniform(0.5, 1.5)
--- a/merlintally/net/discovery.py
+++ b/merlintally/net/discovery.py
@@ -93,8 +93,9 @@
                 with anyio.fail_after(wait + self.bounds.answer_s):
                     body = await self._get(stream, connection, target)
                 await self._take(body)
-                if wait := self.backoff.worked():
-                    await self._rest(wait)
+                # Guards against a drain that counts as told since the node could have asked: after an answer
+                # it asks again at once, whatever it spares discovery after a refusal.
+                self.backoff.worked()
                 if connection.our_state is h11.MUST_CLOSE or connection.their_state is not h11.DONE:
                     return
                 connection.start_next_cycle()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -382,6 +382,25 @@
     assert len(asked) >= 3 and max(gaps) < 0.6
 
 
+def test_discovery_that_was_overloaded_is_asked_again_at_once_after_each_answer() -> None:
+    """Guards against a drain that counts as told since the node could have asked after its last answer."""
+    at, times = server(), list[float]()
+
+    def say(heard: bytes) -> bytes:
+        times.append(anyio.current_time())
+        if len(times) <= 2:
+            return b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
+        return listing(at, index=7) if len(times) < 6 else b""
+
+    async def act(scene: Scene) -> None:
+        await anyio.sleep(2.0)
+
+    discovery = Standin(say)
+    play(told(discovery=discovery.address, bounds=Bounds(spared_s=0.3)), act, discovery, at)
+    gaps = [later - one for one, later in zip(times, times[1:], strict=False)]
+    assert len(gaps) >= 5 and max(gaps[2:5]) < 0.14 < gaps[0]
+
+
 def counting(say: object, *asked: bytes) -> list[bytes]:
     """What clients hear, one after another, with a counter that speaks so and two gateways."""
     at, counter = server(), Standin(say)  # type: ignore[arg-type]
