--- a/merlintally/cluster/core.py
+++ b/merlintally/cluster/core.py
@@ -30,6 +30,7 @@
     "w.right": tuple[
         float, int, bytes, list[tuple[int, Entry]]
     ],  # asked when, by which index, state, entries
+    "w.news": tuple[int],  # there are entries up to this index
     "w.elsewhere": tuple[float, str],  # asked when, who leads ("": nobody that is known)
     "w.ask": tuple[str, str, list[Any]],  # id, verb, arguments
     "w.answer": tuple[str, bool, str],  # id, whether, text
@@ -374,6 +375,13 @@
         if self.work.index < index:
             self.renew_at = self.now  # there is more
 
+    def _on_news(self, sender: str, index: int) -> None:
+        """A turn waits for nodes to hear of it: they ask at once, spread a little, and not at their next
+        renewal."""
+        if index > self.work.index:
+            spread = min(self.plan.terms.renew_s / 2, 0.0005 * len(self.members.known))
+            self.renew_at = min(self.renew_at, self.now + spread * self.random.random())
+
     def _on_elsewhere(self, sender: str, sent: float, leader: str) -> None:
         self.guess = leader if leader != self.me.name else ""
         if leader:
@@ -432,6 +440,10 @@
             self.events.append(("committed", {"index": index, "void": why, "what": id_}))
             self.edge.follow(self.work)
             self.changed = True
+            if self.coordinator is not None and self.leads:
+                for node in self.coordinator.heard:
+                    if node != self.me.name:
+                        self.out.sends.append((node, "w.news", (index,)))
         self.work.index = index
 
     def _restore(self, data: bytes, upto: int) -> None:
--- /dev/null
+++ b/merlintally/lab/schedules/measure.py
@@ -0,0 +1,130 @@
+"""Figures of the cores by size, in simulated time: `python -m merlintally.lab.schedules.measure
+members|work|goes-on`.
+
+Prints a row for each size, as docs/members.md and docs/work-order.md have them.
+"""
+
+from __future__ import annotations
+
+import sys
+from concurrent.futures import ProcessPoolExecutor
+from statistics import mean, median
+from typing import Any
+
+from merlintally.cluster.members import Rhythm
+from merlintally.cluster.work.coordinator import Terms
+from merlintally.lab.schedules import members
+from merlintally.lab.schedules.work import Node, Rig
+
+SIZES, MACHINES, SEEDS = (10, 50, 200, 500), (5, 50, 200, 500), (1, 2, 3)
+TROUBLES = (
+    ("no loss", 0.0, 0.0),
+    ("5% lost", 0.05, 0.0),
+    ("20% lost", 0.2, 0.0),
+    ("1 in 20 stopped", 0.0, 0.05),
+)
+WORK_S = 60.0
+
+
+def members_row(size: int, loss: float, stopped: float) -> dict[str, float]:
+    found = [members.measure(size, seed, loss, stopped) for seed in SEEDS]
+    return {key: mean(one[key] for one in found) for key in found[0]}
+
+
+def work_row(size: int, seed: int, kill: bool = False) -> dict[str, Any]:
+    """Work on all of `size` machines, 10% out at once, each touched for WORK_S and warm in 15 s. Least
+    possible: the machines
+    of a zone one batch after another, each as long as it is touched and then cold. `kill`: whoever leads is
+    killed every 20 s and comes back 5 s later; `goes_on_s` has the times until the next machine was out."""
+    terms = Terms(lease_s=3.0, renew_s=0.5, drift=0.02, warm_s=1.0 if kill else 15.0)
+    rig = Rig(seed, size, 3, terms=terms, rhythm=Rhythm(), drift=0.01)
+    work_s = 2.0 if kill else WORK_S
+    rig.work_s = (work_s, work_s)
+    rig.load_s = 1.0 if size > 50 else 0.1
+    out = max(1, size // 10)
+    rig.begin((str(out), str(out), str(out)), 0.0)
+    world = rig.world
+    killed: list[float] = []
+    went_on: list[float] = []
+
+    def shoot() -> None:
+        led = [one for one in rig.nodes.values() if one.core is not None and one.core.leads]
+        if led and not rig.finished():
+            led[0].kill()
+            turns, at = rig.verdict.counts.get("turns", 0), world.now
+            killed.append(at)
+            world.after(5.0, back, led[0])
+            watch(turns, at)
+        world.after(20.0, shoot)
+
+    def back(node: Node) -> None:
+        if node.core is None and not any(node.name in rig.machines[name].edges for name in rig.touched):
+            node.start()
+
+    def watch(turns: int, at: float) -> None:
+        if rig.verdict.counts.get("turns", 0) > turns:
+            went_on.append(world.now - at)
+        elif not rig.finished():
+            world.after(0.05, watch, turns, at)
+
+    if kill:
+        world.at(8.0, shoot)
+    begun = 2.5
+    zones = [len(range(at, size, 3)) for at in range(3)]
+    least = sum(-(-zone // out) for zone in zones) * (work_s + terms.warm_s)
+    end = rig.until_finished(60.0 + 4 * least)
+    return {
+        "took_s": end - begun,
+        "least_s": least,
+        "finished": rig.finished(),
+        "broken": rig.verdict.broken,
+        "turns": rig.verdict.counts.get("turns", 0),
+        "goes_on_s": went_on,
+    }
+
+
+def main() -> int:
+    what = sys.argv[1] if len(sys.argv) > 1 else ""
+    if what not in ("members", "work", "goes-on"):
+        print(__doc__, file=sys.stderr)
+        return 2
+    with ProcessPoolExecutor() as pool:
+        if what == "members":
+            print_members(pool)
+        else:
+            print_work(pool, what == "goes-on")
+    return 0
+
+
+def print_members(pool: ProcessPoolExecutor) -> None:
+    rows = [
+        (size, name, pool.submit(members_row, size, loss, stopped))
+        for size in SIZES
+        for name, loss, stopped in TROUBLES
+    ]
+    print("| nodes | trouble | known to the first, half, all, s | suspected an hour, a node |", end="")
+    print(" false deaths an hour, in all | bytes a second, a node |")
+    print("| --- | --- | --- | --- | --- | --- |")
+    for size, name, found in rows:
+        row = found.result()
+        known = f"{row['first_s']:.1f}, {row['half_s']:.1f}, {row['all_s']:.1f}"
+        wrong = f"{row['suspected_an_hour']:.1f} | {row['false_deaths_an_hour']:.0f}"
+        print(f"| {size} | {name} | {known} | {wrong} | {row['bytes_a_second']:.0f} |")
+
+
+def print_work(pool: ProcessPoolExecutor, kill: bool) -> None:
+    tries = [(size, [pool.submit(work_row, size, seed, kill) for seed in SEEDS]) for size in MACHINES]
+    print("| machines | took, s | least possible, s | of it | broken | all done |", end="")
+    print(" leader killed, work goes on after: median, worst, s |")
+    print("| --- | --- | --- | --- | --- | --- | --- |")
+    for size, found in tries:
+        rows = [one.result() for one in found]
+        times = [at for one in rows for at in one["goes_on_s"]]
+        took, least = mean(one["took_s"] for one in rows), rows[0]["least_s"]
+        broken, done = sum(len(one["broken"]) for one in rows), all(one["finished"] for one in rows)
+        told = f"{median(times):.1f}, {max(times):.1f} of {len(times)}" if times else "-"
+        print(f"| {size} | {took:.0f} | {least:.0f} | {took / least:.2f} | {broken} | {done} | {told} |")
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/test_cluster.py
@@ -0,0 +1,391 @@
+"""Nodes of a cluster: frames between them, the operators' file, real processes with faults, and their
+records."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+from collections.abc import Awaitable, Callable
+from io import StringIO
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import anyio
+import msgspec
+import pytest
+from click.testing import CliRunner
+
+from merlintally.cli.front import front
+from merlintally.cluster.core import FORMS
+from merlintally.cluster.links import FORM, MOST_HELLO, Bad, Codec, Links, ask, call_of, read_frame
+from merlintally.forms import Faults
+from merlintally.lab.faults.check import check
+from merlintally.lab.faults.play import play
+from merlintally.lab.faults.scenario import Scenario, read_scenario, shipped
+from merlintally.lab.live.play import Live
+from merlintally.net.log import Log
+from merlintally.operators import read_operators
+
+Heard = list[tuple[str, str, tuple[Any, ...]]]
+
+
+# Frames.
+
+
+def test_what_is_spoilt_or_of_another_cluster_is_not_opened() -> None:
+    sealed = Codec("one", "secret").seal(b"body")
+    assert Codec("one", "secret").open(sealed) == b"body"
+    for other, data in (
+        (Codec("two", "secret"), sealed),
+        (Codec("one", "guess"), sealed),
+        (Codec("one", "secret"), sealed[:-1] + b"x"),
+        (Codec("one", "secret"), b"short"),
+    ):
+        with pytest.raises(Bad, match="of another cluster, or spoilt"):
+            other.open(data)
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"\xc1",
+        msgspec.msgpack.encode(("r.append", 1)),
+        msgspec.msgpack.encode(("nothing", [])),
+        msgspec.msgpack.encode(("r.asked", (1, 2, 3))),
+        msgspec.msgpack.encode(("m.ping", (1, "a", [("b", 0)]))),
+        msgspec.msgpack.encode(("w.renew", (0.0, {}, True))),
+    ],
+)
+def test_nonsense_is_no_call(body: bytes) -> None:
+    with pytest.raises(Bad):
+        call_of(body)
+
+
+def test_every_call_has_a_form_and_somebody_who_hears_it() -> None:
+    from merlintally.cluster.agreement import Raft
+    from merlintally.cluster.core import Cluster
+    from merlintally.cluster.members import Members
+
+    owners: dict[str, tuple[type, str]] = {"r": (Raft, "_"), "m": (Members, "_"), "w": (Cluster, "_on_")}
+    for call in FORMS:
+        owner, prefix = owners[call[0]]
+        assert callable(getattr(owner, prefix + call[2:]))
+
+
+def test_a_frame_that_is_too_long_is_refused_before_it_is_read() -> None:
+    async def run() -> None:
+        send, receive = anyio.create_memory_object_stream[bytes](5)
+        await send.send((MOST_HELLO + 1).to_bytes(4, "big") + b"x")
+        with pytest.raises(Bad, match=f"{MOST_HELLO + 1} bytes long"):
+            await read_frame(receive, bytearray(), MOST_HELLO)  # type: ignore[arg-type]
+
+    anyio.run(run)
+
+
+class Ends:
+    """Some nodes' links on loopback."""
+
+    def __init__(self, *names: str) -> None:
+        self.ports = {name: Live.free_port(None) for name in names}  # type: ignore[arg-type]
+        self.heard: dict[str, Heard] = {name: [] for name in names}
+        self.log = StringIO()
+        self.older: list[int] = []
+
+    def links(self, name: str, start: int = 1, cluster: str = "c") -> Links:
+        async def hear(sender: str, call: str, args: tuple[Any, ...]) -> None:
+            self.heard[name].append((sender, call, args))
+
+        async def older(known: int) -> None:
+            self.older.append(known)
+
+        async def client(id_: str, verb: str, args: list[Any]) -> tuple[bool, str]:
+            return True, f"{verb} {args}"
+
+        return Links(
+            cluster,
+            "s",
+            name,
+            start,
+            ("127.0.0.1", self.ports[name]),
+            Random(start),
+            Log(name, 99.0, self.log),
+            hear,
+            lambda other: ("127.0.0.1", self.ports[other]) if other in self.ports else None,
+            older,
+            client,
+        )
+
+    def run(self, act: Callable[[], Awaitable[None]], *links: Links) -> None:
+        async def all_of_it() -> None:
+            async with anyio.create_task_group() as group:
+                for one in links:
+                    group.start_soon(one.run, group)
+                await anyio.sleep(0.05)
+                await act()
+                group.cancel_scope.cancel()
+
+        anyio.run(all_of_it)
+
+    async def until(self, met: Callable[[], bool]) -> None:
+        with anyio.fail_after(10.0):
+            while not met():
+                await anyio.sleep(0.01)
+
+
+def test_messages_and_datagrams_arrive_and_a_client_is_answered() -> None:
+    ends = Ends("a", "b")
+    a, b = ends.links("a"), ends.links("b")
+
+    async def act() -> None:
+        a.send("b", "r.begin", (7,))
+        a.tell("b", "m.ack", (3, [("x", 0, 1, "1.2.3.4:5")]))
+        await ends.until(lambda: len(ends.heard["b"]) == 2)
+        assert await ask(("127.0.0.1", ends.ports["a"]), "c", "s", "id", "status", [1]) == (
+            True,
+            "status [1]",
+        )
+        with pytest.raises((Bad, OSError, anyio.EndOfStream)):
+            await ask(("127.0.0.1", ends.ports["a"]), "other", "s", "id", "status", [])
+
+    ends.run(act, a, b)
+    assert sorted(ends.heard["b"], key=str) == [
+        ("a", "m.ack", (3, [("x", 0, 1, "1.2.3.4:5")])),
+        ("a", "r.begin", (7,)),
+    ]
+    assert "dropped from" in ends.log.getvalue()
+
+
+def test_a_node_with_an_older_folder_is_told_so_and_not_heard() -> None:
+    ends = Ends("a", "b")
+    new, old, b = ends.links("a", 5), ends.links("a", 4), ends.links("b")
+
+    async def act() -> None:
+        b._welcome(FORM, "c", "a", 5, new.life)
+        old.group = b.group
+        old.send("b", "r.begin", (7,))
+        await ends.until(lambda: bool(ends.older))
+
+    ends.run(act, b)
+    assert ends.older[0] == 5 and ends.heard["b"] == []
+
+
+# The operators' file.
+
+GOOD = """[cluster]
+name = "c"
+folder = "{folder}"
+listen = "127.0.0.1:7601"
+voters = ["n0"]
+[cluster.seeds]
+n0 = "127.0.0.1:7601"
+"""
+
+
+@pytest.mark.parametrize(
+    ("change", "why"),
+    [
+        (
+            ('voters = ["n0"]', 'voters = ["n0", "n1"]'),
+            "cluster.voters: 2 names, not one, three, five or seven different ones",
+        ),
+        (('voters = ["n0"]', 'voters = ["n9"]'), "cluster.seeds: has no address of voter n9"),
+        (
+            ('n0 = "127.0.0.1:7601"', 'n0 = "nowhere"'),
+            "cluster.seeds.n0: 'nowhere' is no IPv4 address with a port",
+        ),
+        (
+            ("[cluster.seeds]", "lease_s = 0.6\n[cluster.seeds]"),
+            "cluster.lease_s: 0.6 is below three times renew_s",
+        ),
+        (
+            ('name = "c"', 'name = "c"\nvotters = []'),
+            "cluster.votters: there is no such key (did you mean voters?)",
+        ),
+        (('listen = "127.0.0.1:7601"', ""), "cluster.listen: is missing"),
+    ],
+)
+def test_a_faulty_section_is_told_by_its_key(tmp_path: Path, change: tuple[str, str], why: str) -> None:
+    path = tmp_path / "operators.toml"
+    path.write_text(GOOD.format(folder=tmp_path / "state").replace(*change))
+    with pytest.raises(Faults) as wrong:
+        read_operators(path)
+    assert why in wrong.value.lines
+
+
+def run(*args: str) -> tuple[int, str]:
+    """The command line, and what it prints; Faults become exit code 2 with their lines, as in `main`."""
+    found = CliRunner().invoke(front, args)
+    if isinstance(found.exception, Faults):
+        return 2, "\n".join(found.exception.lines)
+    return found.return_value if isinstance(found.return_value, int) else found.exit_code, found.output
+
+
+def test_a_cluster_is_founded_once_and_explains_its_times(tmp_path: Path) -> None:
+    path = tmp_path / "operators.toml"
+    path.write_text(GOOD.format(folder=tmp_path / "state"))
+    assert run("cluster", "init", "--operators", str(path))[0] == 0
+    assert run("cluster", "init", "--operators", str(path)) == (
+        2,
+        f"cluster.folder: {tmp_path / 'state'} holds a log already; nothing was changed",
+    )
+    rows = json.loads(run("cluster", "explain", "--operators", str(path), "--json")[1])
+    assert {row["name"] for row in rows} == {"new leader", "right gone", "work goes on"}
+
+
+def test_bad_requests_are_refused_before_anything_is_asked(tmp_path: Path) -> None:
+    path, machines = tmp_path / "operators.toml", tmp_path / "machines.toml"
+    path.write_text(GOOD.format(folder=tmp_path / "state"))
+    asked = ("work", "request", "--operators", str(path), "--reason", "r")
+    assert run(*asked, "--all", "--most", "0%") == (
+        2,
+        "--most: '0%' is neither a number nor a share like 10%",
+    )
+    machines.write_text('[[machine]]\nname = "m"\npool = "p"\nzone = "z"\n' * 2)
+    assert run("work", "machines", "--operators", str(path), str(machines)) == (
+        2,
+        f"{machines}: machine.m: stands in the list twice",
+    )
+    code, text = run("lab", "schedules", "agreement", "--mistake", "votes twise")
+    assert code == 2 and "did you mean votes twice?" in text
+
+
+def test_a_lean_node_loads_nothing_of_the_cluster() -> None:
+    code = (
+        "import sys, merlintally.__main__, merlintally.net.node, merlintally.cli.serving\n"
+        "print([one for one in sys.modules if one.startswith('merlintally.cluster') or one == 'msgpack'])"
+    )
+    found = subprocess.run(
+        [sys.executable, "-c", code], capture_output=True, text=True, check=True, timeout=60
+    )
+    assert found.stdout.strip() == "[]"
+
+
+# Records.
+
+
+def record(folder: Path, *rows: dict[str, Any]) -> Path:
+    folder.mkdir(exist_ok=True)
+    with (folder / "a.jsonl").open("w") as file:
+        for at, row in enumerate(rows):
+            file.write(json.dumps({"at": float(at), "node": "n0", "start": 1, **row}) + "\n")
+    return folder
+
+
+def out(machine: str, number: int, **more: Any) -> dict[str, Any]:
+    return {
+        "event": "out",
+        "machine": machine,
+        "number": number,
+        "pool": "p",
+        "zone": "z",
+        "servers": [f"s-{machine}"],
+        "most": {"total": 1, "pool": 9, "zone": 9},
+        **more,
+    }
+
+
+@pytest.mark.parametrize(
+    ("rows", "promise"),
+    [
+        (({"event": "leader", "term": 2}, {"event": "leader", "term": 2, "node": "n1"}), "one leader a term"),
+        (
+            (
+                {"event": "committed", "index": 3, "digest": 5},
+                {"event": "committed", "index": 3, "digest": 6, "node": "n1"},
+            ),
+            "one history",
+        ),
+        (
+            (
+                {"event": "committed", "index": 3, "digest": 5},
+                {"event": "committed", "index": 2, "digest": 6},
+            ),
+            "no node goes back",
+        ),
+        ((out("m0", 1), out("m1", 2)), "never over the budget (total)"),
+        ((out("m0", 1, most={}), out("m1", 2, most={}, zone="y")), "never two zones at once"),
+        ((out("m0", 1), out("m1", 1, most={})), None),
+        (
+            (out("m0", 1, most={}), {"event": "back", "machine": "m1", "number": 1}),
+            "a turn's number is one machine's",
+        ),
+        (
+            (out("m0", 1), {"event": "received", "server": "s-m0", "id": "7"}),
+            "nothing reaches a machine that is out",
+        ),
+        (
+            (
+                out("m0", 1),
+                {"event": "done", "machine": "m0", "number": 1},
+                {"event": "received", "server": "s-m0", "id": "7"},
+            ),
+            None,
+        ),
+        ((out("m0", 1), {"event": "back", "machine": "m0", "number": 1}, out("m1", 2)), None),
+        (({"event": "answered", "id": "7"}, {"event": "answered", "id": "7"}), "one final answer"),
+        (({"event": "answer", "id": "7"}, {"event": "answer", "id": "7"}), "one final answer"),
+        (({"event": "answer", "id": "7"}, {"event": "answer", "id": "7", "start": 2}), None),
+    ],
+)
+def test_records_written_by_hand_are_judged(
+    tmp_path: Path, rows: tuple[dict[str, Any], ...], promise: str | None
+) -> None:
+    found = check(record(tmp_path / "r", *rows))["broken"]
+    assert [one["promise"] for one in found] == ([promise] if promise else [])
+    assert all(len(one["lines"]) == 2 and "a.jsonl:" in one["lines"][0] for one in found)
+
+
+def test_a_record_that_cannot_be_read_is_named_and_a_torn_last_line_left_out(tmp_path: Path) -> None:
+    folder = record(tmp_path / "r", {"event": "leader", "term": 1})
+    with (folder / "a.jsonl").open("a") as file:
+        file.write('{"at": 2.0, "ev')
+    assert check(folder)["rows"] == 1
+    (folder / "a.jsonl").write_text("nonsense\n")
+    with pytest.raises(Faults, match="a.jsonl:1"):
+        check(folder)
+
+
+# Scenarios.
+
+
+def test_every_shipped_scenario_can_be_read() -> None:
+    assert {"notes-cut", "work-round", "late-return"} <= set(shipped())
+    assert all(read_scenario(name).name == name for name in shipped())
+
+
+def played(tmp_path: Path, name: str, **changes: Any) -> dict[str, Any]:
+    """Play a scenario; nothing that is promised may be broken, and all that was begun is done."""
+    form: Scenario = msgspec.structs.replace(read_scenario(name), **changes)
+    found = play(form, 1, tmp_path / "kept")
+    assert found["broken"] == [] and found["unfinished"] == [], found
+    rows = found["submissions"]
+    assert rows["twice"] == 0 and rows["taken"] > 20
+    return found
+
+
+def test_today_s_nodes_with_cut_links(tmp_path: Path) -> None:
+    assert played(tmp_path, "notes-cut", seconds=8.0)["submissions"]["taken"] > 50
+
+
+def test_work_goes_round_while_its_leaders_are_killed_and_stopped(tmp_path: Path) -> None:
+    found = played(tmp_path, "leader-lost", seconds=14.0)
+    assert found["work"]["turns"] == 5 and found["faults"]["kill"] == 1
+
+
+def test_all_are_killed_at_once_with_a_machine_out(tmp_path: Path) -> None:
+    found = played(tmp_path, "all-down", seconds=8.0, processes=3, servers=3)
+    assert found["work"]["turns"] == 3
+
+
+def test_nodes_come_back_with_folders_that_are_older_empty_torn_and_spoilt(tmp_path: Path) -> None:
+    form = read_scenario("late-return")
+    assert form.work is not None
+    soon = tuple(
+        msgspec.structs.replace(one, at_s=1.0 + at * 4.0, lasts_s=1.5) for at, one in enumerate(form.fault)
+    )
+    played(
+        tmp_path, "late-return", seconds=24.0, fault=soon, work=msgspec.structs.replace(form.work, rounds=1)
+    )
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -28,8 +28,15 @@
 def test_news_of_a_member_only_rises() -> None:
     core = one()
     for state, incarnation, expected in (
-        (SUSPECT, 0, SUSPECT), (ALIVE, 0, SUSPECT), (ALIVE, 1, ALIVE), (DEAD, 0, ALIVE), (DEAD, 1, DEAD),
-        (SUSPECT, 1, DEAD), (LEFT, 1, LEFT), (ALIVE, 1, LEFT), (ALIVE, START, ALIVE),
+        (SUSPECT, 0, SUSPECT),
+        (ALIVE, 0, SUSPECT),
+        (ALIVE, 1, ALIVE),
+        (DEAD, 0, ALIVE),
+        (DEAD, 1, DEAD),
+        (SUSPECT, 1, DEAD),
+        (LEFT, 1, LEFT),
+        (ALIVE, 1, LEFT),
+        (ALIVE, START, ALIVE),
     ):
         core.hear(1.0, "c", "ping", (1, "a", [("b", state, incarnation, "b:1")]))
         assert core.state("b") == expected
@@ -65,8 +72,16 @@
     assert len(set(MISTAKES)) == len(MISTAKES) >= 8
 
 
-@pytest.mark.parametrize("mistake", ["old news taken", "suspicion is not refuted", "left counts as dead",
-                                     "a start forgets its incarnation", "suspicion never ends",
-                                     "news is never told on"])
+@pytest.mark.parametrize(
+    "mistake",
+    [
+        "old news taken",
+        "suspicion is not refuted",
+        "left counts as dead",
+        "a start forgets its incarnation",
+        "suspicion never ends",
+        "news is never told on",
+    ],
+)
 def test_a_planted_mistake_is_found(mistake: str) -> None:
     assert any(play(seed, (mistake,)).broken for seed in range(4))
--- a/tests/test_work.py
+++ b/tests/test_work.py
@@ -20,15 +20,26 @@
 
 
 def machines(count: int = 6, **more: Any) -> list[dict[str, Any]]:
-    return [{"name": f"m{at}", "pool": f"p{at % 2}", "zone": f"z{at % 3}", "edges": [f"n{at}"],
-             "servers": [f"s{at}"], **more} for at in range(count)]
+    return [
+        {
+            "name": f"m{at}",
+            "pool": f"p{at % 2}",
+            "zone": f"z{at % 3}",
+            "edges": [f"n{at}"],
+            "servers": [f"s{at}"],
+            **more,
+        }
+        for at in range(count)
+    ]
 
 
 def agreed(*words: tuple[Any, ...], count: int = 6, **more: Any) -> Work:
     """What is agreed after a list of machines, a request for all, and then `words`; each has to be taken."""
     work = Work()
-    first = [("machines", "ann", machines(count, **more)),
-             ("request", "r1", "ann", "kernel", [f"m{at}" for at in range(count)], BUDGET, 0.0)]
+    first = [
+        ("machines", "ann", machines(count, **more)),
+        ("request", "r1", "ann", "kernel", [f"m{at}" for at in range(count)], BUDGET, 0.0),
+    ]
     for index, (verb, *args) in enumerate([*first, *words], 1):
         assert work.take(index, entry(f"e{index}", verb, *args))[1] == "", (verb, args)
     return work
@@ -56,28 +67,36 @@
     assert void(work, "grant", 1, "m0").startswith("m0: turn 1 is over")
 
 
-@pytest.mark.parametrize(("verb", "args", "why"), [
-    ("request", ("r2", "bo", "disk", ["m9"], BUDGET, 0.0), "m9: there is no such machine"),
-    ("request", ("r2", "bo", "disk", [], BUDGET, 0.0), "no machine is named"),
-    ("request", ("r2", "bo", "disk", ["m0"], BUDGET, 0.0), "m0: request r1 of ann asks for work on it"),
-    ("call", (5, "m0", "r1"), "m0: turn 5 does not follow 0"),
-    ("call", (1, "m0", "r7"), "r7: there is no such request"),
-    ("done", ("m0", "bo"), "m0: is not out"),
-    ("abandon", ("m0", "bo", "why"), "m0: has no turn"),
-    ("machines", ("bo", [*machines(2), *machines(1)]), "m0: stands in the list twice"),
-    ("machines", ("bo", [*machines(1), {"name": "x", "pool": "p", "zone": "z", "edges": ["n0"]}]),
-     "x: edge n0 is on m0 already"),
-    ("nothing", (), "an entry that can't be read is void: KeyError('nothing')"),
-    ("request", (3,), "an entry that can't be read is void"),
-])
+@pytest.mark.parametrize(
+    ("verb", "args", "why"),
+    [
+        ("request", ("r2", "bo", "disk", ["m9"], BUDGET, 0.0), "m9: there is no such machine"),
+        ("request", ("r2", "bo", "disk", [], BUDGET, 0.0), "no machine is named"),
+        ("request", ("r2", "bo", "disk", ["m0"], BUDGET, 0.0), "m0: request r1 of ann asks for work on it"),
+        ("call", (5, "m0", "r1"), "m0: turn 5 does not follow 0"),
+        ("call", (1, "m0", "r7"), "r7: there is no such request"),
+        ("done", ("m0", "bo"), "m0: is not out"),
+        ("abandon", ("m0", "bo", "why"), "m0: has no turn"),
+        ("machines", ("bo", [*machines(2), *machines(1)]), "m0: stands in the list twice"),
+        (
+            "machines",
+            ("bo", [*machines(1), {"name": "x", "pool": "p", "zone": "z", "edges": ["n0"]}]),
+            "x: edge n0 is on m0 already",
+        ),
+        ("nothing", (), "an entry that can't be read is void: KeyError('nothing')"),
+        ("request", (3,), "an entry that can't be read is void"),
+    ],
+)
 def test_bad_words_are_void_and_say_why(verb: str, args: tuple[Any, ...], why: str) -> None:
     assert void(agreed(), verb, *args).startswith(why)
 
 
 def test_a_budget_that_can_never_be_met_is_refused() -> None:
     work = agreed(("cancel", "r1", "ann"))
-    assert void(work, "request", "r2", "bo", "disk", ["m0"], ["10%", "1", "1"], 0.0) == \
-        "m0: the budget can never be met: total 10% of 6 is less than one machine"
+    assert (
+        void(work, "request", "r2", "bo", "disk", ["m0"], ["10%", "1", "1"], 0.0)
+        == "m0: the budget can never be met: total 10% of 6 is less than one machine"
+    )
     why = void(work, "request", "r2", "bo", "x", ["m0"], ["0", "1", "1"], 0.0)
     assert "neither a number nor a share" in why
 
@@ -119,6 +138,7 @@
 
 # What the leader waits for.
 
+
 def office(work: Work, *heard: str, **reports: Report) -> Coordinator:
     led = Coordinator("n5", Terms(lease_s=3.0, renew_s=0.5, drift=0.02, warm_s=10.0), 100.0)
     for node in heard:
@@ -147,8 +167,11 @@
         assert ("out", 1, "m0") not in led.step(101.0, work, Seen())[0]
         seen.append(led.waits["m0"])
         led.renewed(101.0, node, Report(1, 4, idle=True))
-    assert seen == ["n0 has not answered all it took", "n1 still waits for answers of it",
-                    "n2 has not heard of the grant"]
+    assert seen == [
+        "n0 has not answered all it took",
+        "n1 still waits for answers of it",
+        "n2 has not heard of the grant",
+    ]
     assert ("out", 1, "m0") in led.step(101.0, work, Seen())[0]
     silent = office(work, "n0", n0=Report(1, 4, idle=True))  # a new leader, who has heard of no other
     assert ("out", 1, "m0") not in silent.step(103.1, work, Seen())[0]
@@ -181,6 +204,7 @@
 
 # What a node may do.
 
+
 def edge(work: Work, name: str = "n1", at: float = 100.0) -> Edge:
     found = Edge(name, 1, work)
     found.renewed(at, work.index, at)
