--- a/merlintally/cli/lab.py
+++ b/merlintally/cli/lab.py
@@ -89,7 +89,7 @@
         "report": ("merlintally.cli.lab:report", "Write one HTML page with plots about results."),
         "why": ("merlintally.cli.lab:why", "Account for a day's loss, by cause."),
         "follow": ("merlintally.cli.lab:follow_one", "Follow one submission through records or logs."),
-        "faults": ("merlintally.cli.faults:faults", "Play processes with faults between them; check records."),
+        "faults": ("merlintally.cli.faults:faults", "Play processes with faults between them."),
         "schedules": ("merlintally.cli.faults:schedules", "Try the cluster's cores in seeded schedules."),
         "list": ("merlintally.cli.lab:list_days", "List the days that come with the program."),
     }
