--- a/merlintally/cli/working.py
+++ b/merlintally/cli/working.py
@@ -203,6 +203,71 @@
         time.sleep(WAIT_S)
 
 
+@work.command()
+@operators_option
+@node_option
+@by_option
+@click.option("--reason", required=True, help="What the work is for.")
+@click.option("--pool", help="The machines of one pool; left out, all.")
+@click.option("--most", default="1", show_default=True, help="Out at once, in all and in each pool and zone.")
+@click.argument("command", nargs=-1, required=True)
+def roll(
+    operators: Path,
+    node: str | None,
+    by: str,
+    reason: str,
+    pool: str | None,
+    most: str,
+    command: tuple[str, ...],
+) -> int:
+    """Ask for work on machines and run COMMAND for each once it is out, its name in place of {}.
+
+    A machine whose COMMAND fails stays out, and is told: exit code 1. Ended early, it goes on where it was
+    when it is run again with the same --reason.
+    """
+    import subprocess
+
+    part = cluster_part(operators)
+    rows = json.loads(ask(part, node, "machines?", [])[1])
+    names = [row["name"] for row in rows if pool in (None, row["pool"])]
+    if not names:
+        raise Faults([f"--pool: {pool} has no machine" if pool else "the list of machines is empty"])
+    id_ = f"roll-{reason.replace(' ', '-')}"
+    known = {one["id"] for one in status_of(operators, node)["requests"]}
+    if id_ not in known:
+        do(operators, node, "request", [id_, by, reason, names, [most, most, most], 0.0], f"request:{id_}")
+    failed: set[str] = set()
+    seen = 0
+    while True:
+        found = status_of(operators, node)
+        if found["index"] < seen or not found["caught_up"]:  # guards against the word of a node that is behind
+            time.sleep(WAIT_S)
+            continue
+        seen = found["index"]
+        mine = next((one for one in found["requests"] if one["id"] == id_), None)
+        if mine is None or mine["state"] != "open":
+            click.echo(f"{id_}: {mine['state'] if mine else 'is gone'}")
+            return 1 if failed else 0
+        for turn in found["turns"]:
+            name = turn["machine"]
+            if turn["request"] != id_ or turn["state"] != "out" or name in failed:
+                continue
+            ok, text = ask(part, node, "turn", [name])  # by the leader's word, not by that of a node behind
+            if not ok or json.loads(text)["state"] != "out":
+                continue
+            click.echo(f"{name} is out, turn {turn['number']}")
+            if subprocess.run([word.replace("{}", name) for word in command], check=False).returncode:
+                click.echo(f"{name}: the command failed; it stays out", err=True)
+                failed.add(name)
+            else:
+                do(operators, node, "done", [name, by])
+        if failed and not any(
+            turn["state"] != "out" or turn["machine"] not in failed for turn in found["turns"]
+        ):
+            return 1
+        time.sleep(WAIT_S)
+
+
 def _verb(name: str, help_: str, argument: str, reason: bool = False) -> None:
     """A command that is one entry about a machine or a request."""
 
--- a/merlintally/lab/faults/play.py
+++ b/merlintally/lab/faults/play.py
@@ -217,10 +217,23 @@
     async def _node_of(self, name: str) -> FaultNode | None:
         if name == "leader":
             name = await self.leader()
+        if name == "turn":
+            name = await self._next_turn()
         if name in ("any", ""):
             return self.net.random.choice(self.fault_nodes)
         return next((one for one in self.fault_nodes if one.name == name), None)
 
+    async def _next_turn(self) -> str:
+        """The node on the machine that is called or granted next."""
+        ends = time.monotonic() + LEADER_S
+        while time.monotonic() < ends:
+            text = await self.ask("status", [], patience=5.0)
+            for turn in json.loads(text)["turns"] if text else ():
+                if turn["state"] in ("called", "granted"):
+                    return f"n{turn['machine'][1:]}"
+            await asyncio.sleep(0.02)
+        return ""
+
     async def _link(self, fault: FaultForm, a: str) -> None:
         others = [one.name for one in self.fault_nodes if one.name != a]
         pairs = [(a, b) for b in (others if fault.to == "all" else [fault.to])]
@@ -235,6 +248,10 @@
 
     async def _process(self, kind: str, node: FaultNode, lasts: float) -> None:
         """One process fails, and comes back after a while, with whatever folder."""
+        if kind in ("learn", "unvote"):
+            if await self.ask(kind, [node.name], patience=LEADER_S) is None:
+                self.unfinished.append(f"{kind} {node.name} was not taken")
+            return
         if node.touched or node.held or not node.alive or node.stopped:
             self.caused[kind] -= 1
             return
--- a/merlintally/lab/faults/scenario.py
+++ b/merlintally/lab/faults/scenario.py
@@ -16,14 +16,17 @@
 LinkKind = Literal[
     "cut", "one-way", "refused", "reset", "slow", "jittered", "reordered", "doubled", "lost", "narrow", "mute"
 ]
-ProcessKind = Literal["kill", "kill-all", "stop", "leave", "older", "empty", "torn", "spoilt", "full"]
+ProcessKind = Literal[
+    "kill", "kill-all", "stop", "leave", "older", "empty", "torn", "spoilt", "full", "learn", "unvote"
+]
 LINK_KINDS, PROCESS_KINDS = get_args(LinkKind), get_args(ProcessKind)
 Least = Annotated[float, Meta(ge=0)]
 
 
 class FaultForm(Struct, frozen=True, forbid_unknown_fields=True):
     """One fault. Nodes are n0, n1 and so on; other parties counter, discovery and notes; "leader" is whoever
-    leads then, "any" a node drawn by the seed, "all" every node."""
+    leads then, "turn" the node whose machine is called or granted next, "any" one drawn by the seed, "all"
+    every node."""
 
     kind: Annotated[LinkKind | ProcessKind, Meta(description="what goes wrong")]
     at_s: Annotated[Least, Meta(description="when, seconds after the load begins")]
@@ -88,15 +91,8 @@
     def faults(self) -> list[tuple[str, str]]:
         """What does not go together."""
         wrong = []
-        parties = {
-            *(f"n{at}" for at in range(self.processes)),
-            "any",
-            "all",
-            "leader",
-            "counter",
-            "discovery",
-            "notes",
-        }
+        nodes = {f"n{at}" for at in range(self.processes)}
+        parties = nodes | {"any", "all", "leader", "turn", "counter", "discovery", "notes"}
         for at, fault in enumerate(self.fault):
             for key, name in (("of", fault.of), ("to", fault.to)):
                 if name not in parties:
