Copies of state that matters, as a core: merged rows, holders, catch-up (not yet attached)

Need: a restarted node knows nothing of what it and others drew; first step of state replicated among the nodes.

Change: cluster/copies holds rows that only their owner changes (merge by version, impossible rows refused whole, differing copies of one version in quarantine and the narrower acted on), holders by rendezvous hashing over zones, spread within a byte budget with the most telling first, comparison by digests, catch-up that counts only when a majority of holders' digests were met. lab/schedules/copies plays it under faults.

Nothing of it runs in a node yet: grants, the shell and the decisions' use of it are open.

--- a/merlintally/cli/faults.py
+++ b/merlintally/cli/faults.py
@@ -19,7 +19,7 @@
 
 BROKEN = 3  # exit code
 FOLDER = click.Path(file_okay=False, path_type=Path)
-CORES = ("agreement", "members", "work")
+CORES = ("agreement", "members", "work", "copies")
 CHUNK = 50  # schedules a process takes at once
 json_option = click.option("--json", "as_json", is_flag=True, help="Print for machines.")
 
@@ -145,7 +145,7 @@
 def schedules(
     core: str, count: int, first: int, processes: int, mistake: str | None, all_mistakes: bool, as_json: bool
 ) -> int:
-    """Try CORE (agreement, members or work) in simulated time under seeded faults; exit code 3 for a
+    """Try CORE (agreement, members, work or copies) in simulated time under seeded faults; exit code 3 for a
     broken promise."""
     known = mistakes_of(core)
     if mistake is not None and mistake not in known:
--- a/merlintally/cluster/agreement/log.py
+++ b/merlintally/cluster/agreement/log.py
@@ -62,8 +62,8 @@
         """One row of what a core had persisted, in its order.
 
         >>> kept = Kept()
-        >>> for row in (("vote", 2, "b"), ("add", 1, [Entry(2, DATA, b"x"), Entry(2, DATA, b"y")]), ("cut",
-        2)):
+        >>> two = [Entry(2, DATA, b"x"), Entry(2, DATA, b"y")]
+        >>> for row in (("vote", 2, "b"), ("add", 1, two), ("cut", 2)):
         ...     kept.take(row)
         >>> kept.term, kept.vote, len(kept.entries)
         (2, 'b', 1)
--- /dev/null
+++ b/merlintally/cluster/copies/spread.py
@@ -0,0 +1,267 @@
+"""How copies get to their holders, are compared, and are caught up with by one that returns: events in,
+results out, within a budget of bytes a second."""
+
+from __future__ import annotations
+
+from collections import Counter, OrderedDict
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any, NamedTuple
+
+from merlintally.cluster.copies.holders import SHARDS, holders_of, shard_of
+from merlintally.cluster.copies.store import Row, Store
+
+FORMS: dict[str, Any] = {  # call -> types of its arguments
+    "rows": tuple[list[Row]],  # news of rows
+    "compare": tuple[int, int],  # shard, digest of it
+    "versions": tuple[
+        int, int, list[tuple[str, str, str, int, int]], bool
+    ],  # shard, from which place, names and
+    # versions, whether these are the last
+    "fetch": tuple[int, list[tuple[str, str, str, int]]],  # shard, names of rows that are wanted
+    "same": tuple[int, int],  # shard, digest: equal to what was told
+}
+HEAD = 48  # bytes of a row beside its names
+
+
+class Terms(NamedTuple):
+    """Times in seconds, bytes a second. A change is with its holders after `spread_s` and a send where the
+    budget allows; two holders of a shard that differ are found within `compare_s` times the shards that one
+    holds."""
+
+    copies: int = 3
+    budget: float = 20000.0
+    spread_s: float = 0.2
+    compare_s: float = 0.1
+    chunk: int = 100  # rows or names in one message
+    cold_after_s: float = 10.0  # after which one that has not caught up starts cold, and says so
+
+
+@dataclass(slots=True)
+class Results:
+    sends: list[tuple[str, str, tuple[Any, ...]]] = field(default_factory=list)  # to, call, arguments
+    changed: list[Row] = field(default_factory=list)  # rows of others that are new here
+    events: list[tuple[str, dict[str, Any]]] = field(default_factory=list)
+    wake_at: float = 0.0
+
+
+def size_of(row: Row) -> int:
+    return HEAD + len(row.key) + len(row.node) + 8 * len(row.figures)
+
+
+class Copies:
+    """One node's part. `follow` tells who the members are; `put` changes a row of its own."""
+
+    def __init__(
+        self,
+        name: str,
+        start: int,
+        terms: Terms,
+        random: Random,
+        now: float,
+        kept: Iterable[Row] = (),
+        mistakes: frozenset[str] = frozenset(),
+    ) -> None:
+        """`kept` is what an older folder has: a head start that others' copies are held against, no
+        authority."""
+        self.name, self.start, self.terms, self.random, self.now = name, start, terms, random, now
+        self.mistakes, self.store = mistakes, Store(mistakes)
+        self.store.merge(kept, "folder")
+        self.members: list[str] = [name]
+        self.zones: Mapping[str, str] = {}
+        self.held: set[int] = set(range(SHARDS))
+        self.holders: dict[int, list[str]] = {}  # by shard, as the members are now
+        self.unsent: OrderedDict[tuple[str, str, str, int], float] = OrderedDict()  # row -> how telling it is
+        self.room, self.room_at = terms.budget, now
+        self.spread_at = now + terms.spread_s * random.random()
+        self.compare_at = now + terms.compare_s * random.random()
+        self.began = now
+        self.met: dict[int, set[str]] = {
+            shard: set() for shard in range(SHARDS)
+        }  # holders whose digest was met
+        self.caught_up = "an older folder is trusted" in mistakes and bool(list(kept))
+        self.cold = False
+        self.leaving: dict[int, float] = {}  # shards held no more, until others have them
+        self.counts: Counter[str] = Counter()
+        self.out = Results()
+
+    # What others ask of it.
+
+    def follow(self, now: float, members: Iterable[str], zones: Mapping[str, str]) -> None:
+        """Who there is. A shard that is no longer this node's is kept until its holders have met its
+        digest."""
+        self.now = now
+        self.members, self.zones = sorted(set(members) | {self.name}), zones
+        self.holders.clear()
+        before, self.held = self.held, {one for one in range(SHARDS) if self.name in self._holders(one)}
+        for shard in before - self.held:
+            if self.store.digest(shard):
+                self.leaving[shard] = now
+        for shard in self.held & set(self.leaving):
+            del self.leaving[shard]
+        if "a shard moves before it is held" in self.mistakes:
+            for shard in list(self.leaving):
+                self.store.drop(shard)
+                del self.leaving[shard]
+
+    def put(self, now: float, kind: str, key: str, figures: tuple[float, ...], telling: float = 1.0) -> None:
+        """Change a row of this node's; what is most telling goes out first."""
+        self.now = now
+        had = self.store.get(kind, key, self.name, self.start)
+        row = Row(kind, key, self.name, self.start, had.version + 1 if had is not None else 1, figures)
+        self.store.merge([row], "own")
+        self.unsent[row.name] = telling
+
+    def take_results(self) -> Results:
+        found, self.out = self.out, Results()
+        found.wake_at = min(self.spread_at, self.compare_at)
+        return found
+
+    def wake(self, now: float) -> None:
+        self.now = now
+        self.room = min(self.terms.budget, self.room + (now - self.room_at) * self.terms.budget)
+        self.room_at = now
+        if now >= self.spread_at:
+            self.spread_at = now + self.terms.spread_s
+            self._spread()
+        if now >= self.compare_at:
+            self.compare_at = now + self.terms.compare_s
+            self._compare()
+        if not self.caught_up and not self.cold and now - self.began > self.terms.cold_after_s:
+            self.cold = True
+            self.out.events.append(("cold", {"left": sum(not self._settled(one) for one in self.held)}))
+
+    def hear(self, now: float, sender: str, call: str, args: tuple[Any, ...]) -> None:
+        self.now = now
+        getattr(self, f"_on_{call}")(sender, *args)
+
+    def age(self) -> int:
+        """Rows of its own that no holder has been sent yet."""
+        return len(self.unsent)
+
+    # Spread.
+
+    def _holders(self, shard: int) -> list[str]:
+        found = self.holders.get(shard)
+        if found is None:
+            found = holders_of(shard, self.members, self.terms.copies, self.zones)
+            self.holders[shard] = found
+        return found
+
+    def _spread(self) -> None:
+        """What is unsent, most telling first, to the holders of its shard, within the budget."""
+        batches: dict[str, list[Row]] = {}
+        for name in sorted(self.unsent, key=lambda one: -self.unsent[one]):
+            row = self.store.get(*name)
+            to = [one for one in self._holders(shard_of(*name[:2])) if one != self.name]
+            if row is None:
+                del self.unsent[name]
+                continue
+            if self.room < size_of(row) * len(to):
+                self.counts["over budget"] += 1
+                break
+            self.room -= size_of(row) * len(to)
+            for one in to:
+                batches.setdefault(one, []).append(row)
+            del self.unsent[name]
+        for one, rows in batches.items():
+            for at in range(0, len(rows), self.terms.chunk):
+                self._send(one, "rows", rows[at : at + self.terms.chunk])
+
+    def _on_rows(self, sender: str, rows: list[Row]) -> None:
+        own = [row for row in rows if (row.node, row.start) == (self.name, self.start)]
+        refused = self.store.refused
+        taken = self.store.merge([row for row in rows if row not in own], sender)
+        if self.store.refused > refused:
+            self.out.events.append(("refused", {"whose": sender}))
+        self.out.changed += taken
+        if self.store.suspect:
+            self.out.events.append(("differ", {"shards": sorted(self.store.suspect), "whose": sender}))
+            for shard in list(self.store.suspect):
+                self.store.suspect.discard(shard)
+                self.met[shard].clear()
+                self._ask(shard)
+
+    # Comparing, and catching up.
+
+    def _settled(self, shard: int) -> bool:
+        others = [one for one in self._holders(shard) if one != self.name]
+        if "caught up at the first answer" in self.mistakes:
+            return not others or bool(self.met[shard])
+        return 2 * (len(self.met[shard] & set(others)) + 1) > len(others) + 1
+
+    def _compare(self) -> None:
+        """One shard with one other holder; while it catches up, all that are not settled come first."""
+        wanted = [shard for shard in sorted(self.held) if not self._settled(shard)]
+        if not self.caught_up and not wanted:
+            self.caught_up = True
+            self.out.events.append(("caught up", {"after_s": round(self.now - self.began, 3)}))
+        if wanted:
+            for shard in self.random.sample(wanted, min(8, len(wanted))):
+                self._ask(shard)
+        elif self.held or self.leaving:
+            self._ask(self.random.choice(sorted(self.held | set(self.leaving))))
+
+    def _ask(self, shard: int) -> None:
+        others = [one for one in self._holders(shard) if one != self.name]
+        if others:
+            self._send(self.random.choice(others), "compare", shard, self.store.digest(shard))
+
+    def _on_compare(self, sender: str, shard: int, digest: int) -> None:
+        if digest == self.store.digest(shard):
+            self._met(sender, shard)
+            self._send(sender, "same", shard, digest)
+            return
+        names = [(*row.name, row.version) for row in self.store.shard(shard)]
+        chunk = self.terms.chunk
+        for at in range(0, max(1, len(names)), chunk):
+            self._send(sender, "versions", shard, at, names[at : at + chunk], at + chunk >= len(names))
+
+    def _on_versions(
+        self, sender: str, shard: int, at: int, names: list[tuple[str, str, str, int, int]], last: bool
+    ) -> None:
+        """Fetch what is newer there, tell what is newer here: what differs goes over, and no more."""
+        theirs = {(kind, key, node, start): version for kind, key, node, start, version in names}
+        wanted, newer = [], []
+        for name, version in theirs.items():
+            row = self.store.get(*name)
+            if row is None or row.version < version or row.version == version and shard in self.store.suspect:
+                wanted.append(name)
+            elif row.version > version:
+                newer.append(row)
+        if last and at == 0:
+            newer += [row for row in self.store.shard(shard) if row.name not in theirs]
+        if wanted:
+            self._send(sender, "fetch", shard, wanted)
+        for first in range(0, len(newer), self.terms.chunk):
+            self._send(sender, "rows", newer[first : first + self.terms.chunk])
+        if not wanted and not newer and last and at == 0:
+            # the same names and versions, and another digest: copies that differ
+            self._send(
+                sender, "fetch", shard, [row.name for row in self.store.shard(shard)][: self.terms.chunk]
+            )
+
+    def _on_fetch(self, sender: str, shard: int, names: list[tuple[str, str, str, int]]) -> None:
+        rows = [row for name in names if (row := self.store.get(*name)) is not None]
+        if rows:
+            self._send(sender, "rows", rows)
+
+    def _on_same(self, sender: str, shard: int, digest: int) -> None:
+        if digest == self.store.digest(shard):
+            self._met(sender, shard)
+
+    def _met(self, sender: str, shard: int) -> None:
+        self.met[shard].add(sender)
+        if shard in self.leaving:
+            others = self._holders(shard)
+            if sum(one in self.met[shard] for one in others) * 2 > len(others):
+                self.store.drop(shard)
+                del self.leaving[shard]
+                self.met[shard].clear()
+
+    def _send(self, to: str, call: str, *args: Any) -> None:
+        if call == "rows":
+            self.counts["rows"] += len(args[0])
+        self.counts["messages"] += 1
+        self.out.sends.append((to, call, args))
--- /dev/null
+++ b/merlintally/lab/schedules/copies.py
@@ -0,0 +1,297 @@
+"""Schedules of the copies core: rows change everywhere while messages are lost and nodes die, return with
+older folders and hold spoilt copies. The rig knows the truth of every row."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from contextlib import suppress
+from random import Random
+from typing import Any
+
+from merlintally.cluster.copies import Copies, Row, Terms, holders_of, shard_of
+from merlintally.cluster.copies.store import USE
+from merlintally.lab.schedules.agreement import Found, Verdict
+from merlintally.lab.schedules.world import Drifting, World
+
+TERMS = Terms(spread_s=0.1, compare_s=0.05, chunk=20)
+LENGTH_S, HEALED_S, NOTICE_S = 20.0, 30.0, 0.5
+
+
+class Node:
+    """One process: its core, and the rows that it keeps in its folder now and then."""
+
+    def __init__(self, rig: Rig, name: str, zone: str) -> None:
+        self.rig, self.name, self.zone = rig, name, zone
+        self.clock = Drifting(rig.world, 0.01)
+        self.core: Copies | None = None
+        self.starts = self.life = 0
+        self.folder: list[Row] = []
+        self.drawn: dict[str, float] = {}
+        self.seen: dict[str, float] = {}  # sums that it has told, by customer
+        self.began_with: dict[str, float] = {}
+        self.bytes = 0
+        self.wake_at = 0.0
+
+    def start(self, kept: list[Row]) -> None:
+        self.starts += 1
+        self.life += 1
+        self.wake_at = 0.0
+        self.drawn, self.seen = {}, {}
+        self.core = Copies(
+            self.name,
+            self.starts,
+            self.rig.terms,
+            Random(self.rig.world.random.random()),
+            self.clock.now(),
+            kept,
+            self.rig.mistakes,
+        )
+        self.core.follow(self.clock.now(), self.rig.members(), self.rig.zones)
+        self.began_with = self.rig.held_by_most(self)
+        self.settle()
+
+    def settle(self) -> None:
+        core, world = self.core, self.rig.world
+        assert core is not None
+        found = core.take_results()
+        for to, call, args in found.sends:
+            self.bytes += size_of(call, args)
+            if to in self.rig.nodes:
+                world.send(self.name, to, self.rig.deliver, to, self.name, call, args)
+        for event, fields in found.events:
+            self.rig.told(self, event, fields)
+        when = max(world.now + 0.002, self.clock.world_time(found.wake_at))
+        if not self.wake_at or when < self.wake_at or self.wake_at <= world.now:
+            self.wake_at = when
+            world.at(when, self.woken, self.life)
+
+    def woken(self, life: int) -> None:
+        if life == self.life and self.core is not None and self.rig.world.now >= self.wake_at - 1e-9:
+            self.core.wake(self.clock.now())
+            self.settle()
+
+    def draw(self, customer: str, units: float) -> None:
+        assert self.core is not None
+        self.drawn[customer] = self.drawn.get(customer, 0.0) + units
+        self.core.put(self.clock.now(), USE, customer, (self.drawn[customer],), units)
+        self.rig.truth[customer, self.name, self.starts] = self.drawn[customer]
+
+
+def size_of(call: str, args: tuple[Any, ...]) -> int:
+    """Bytes of a message, about."""
+    rows = next((one for one in args if isinstance(one, list)), [])
+    return 40 + sum(60 if isinstance(one, Row) else 36 for one in rows)
+
+
+class Rig:
+    """Nodes in two zones; who is a member is known to all some time after it is so."""
+
+    def __init__(self, seed: int, size: int, terms: Terms, mistakes: Iterable[str] = ()) -> None:
+        self.world, self.terms, self.mistakes = World(seed), terms, frozenset(mistakes)
+        self.verdict = Verdict(seed)
+        self.nodes = {f"n{at}": Node(self, f"n{at}", f"z{at % 2}") for at in range(size)}
+        self.zones = {name: node.zone for name, node in self.nodes.items()}
+        self.truth: dict[tuple[str, str, int], float] = {}
+        self.customers = [f"c{at}" for at in range(30)]
+        self.spoilt = self.harsh = False
+        self.caught: list[float] = []
+
+    def broken(self, line: str) -> None:
+        if len(self.verdict.broken) < 5:
+            self.verdict.broken.append(f"{self.world.now:.2f} {line}")
+        if self.mistakes:
+            raise Found
+
+    def count(self, what: str) -> None:
+        self.verdict.counts[what] = self.verdict.counts.get(what, 0) + 1
+
+    def members(self) -> list[str]:
+        return [name for name, node in self.nodes.items() if node.core is not None]
+
+    def follow(self) -> None:
+        for node in self.nodes.values():
+            if node.core is not None:
+                node.core.follow(node.clock.now(), self.members(), self.zones)
+
+    def deliver(self, to: str, sender: str, call: str, args: tuple[Any, ...]) -> None:
+        node = self.nodes[to]
+        if node.core is not None:
+            node.core.hear(node.clock.now(), sender, call, args)
+            self.look(node)
+            node.settle()
+
+    def look(self, node: Node) -> None:
+        """A sum that a node has told only rises while it holds the shard, and is never above the truth."""
+        core = node.core
+        if core is None or self.spoilt:
+            return
+        customer = self.world.random.choice(self.customers)
+        used = core.store.used(customer)
+        true = sum(units for (whose, _, _), units in self.truth.items() if whose == customer)
+        if used > true + 1e-6:
+            self.broken(f"{node.name} holds that {customer} drew {used:g}, and all together drew {true:g}")
+        if shard_of(USE, customer) in core.held:
+            if used < node.seen.get(customer, 0.0) - 1e-6:
+                self.broken(f"{node.name} goes back from {node.seen[customer]:g} to {used:g} of {customer}")
+            node.seen[customer] = used
+        else:
+            node.seen.pop(customer, None)
+
+    def held_by_most(self, node: Node) -> dict[str, float]:
+        """What a majority of the other holders has of each customer when a node starts."""
+        found = {}
+        for customer in self.customers:
+            shard = shard_of(USE, customer)
+            holders = holders_of(shard, self.members(), self.terms.copies, self.zones)
+            if node.name not in holders:
+                continue
+            others = [
+                one for name in holders if name != node.name and (one := self.nodes[name].core) is not None
+            ]
+            sums = sorted((one.store.used(customer) for one in others), reverse=True)
+            need = len(holders) // 2 + 1
+            if len(sums) >= need:
+                found[customer] = sums[need - 1]
+        return found
+
+    def told(self, node: Node, event: str, fields: dict[str, Any]) -> None:
+        self.count(event)
+        if event == "caught up" and node.core is not None:
+            self.caught.append(fields["after_s"])
+            for customer, used in node.began_with.items():
+                if (
+                    shard_of(USE, customer) in node.core.held
+                    and node.core.store.used(customer) < used - 1e-6
+                    and not self.spoilt
+                ):
+                    self.broken(
+                        f"{node.name} counts as caught up with {node.core.store.used(customer):g} of "
+                        f"{customer}, and most held {used:g} when it started"
+                    )
+
+    def kill(self, node: Node) -> None:
+        if node.core is not None:
+            node.core = None
+            node.life += 1
+            self.world.after(NOTICE_S, self.follow)
+
+    def back(self, node: Node, kept: list[Row]) -> None:
+        if node.core is None:
+            node.start(kept)
+            self.world.after(NOTICE_S, self.follow)
+
+    def load(self) -> None:
+        random = self.world.random
+        node = random.choice(list(self.nodes.values()))
+        if node.core is not None and self.world.now < LENGTH_S:
+            node.draw(random.choice(self.customers), float(random.randint(1, 5)))
+            node.settle()
+        if random.random() < 0.1:
+            node.folder = (
+                [row for shard in node.core.store.rows for row in node.core.store.shard(shard)]
+                if node.core is not None
+                else node.folder
+            )
+        self.world.after(random.expovariate(8.0), self.load)
+
+
+def play(seed: int, mistakes: Iterable[str] = ()) -> Verdict:
+    """One schedule; in the end copies are equal, and in gentle ones nothing is lost."""
+    random = Random(seed)
+    rig = Rig(seed, random.randint(3, 7), TERMS._replace(budget=random.choice((600.0, 20000.0))), mistakes)
+    world = rig.world
+    world.loss, world.double = random.choice((0, 0, 0.05, 0.2)), random.choice((0, 0.1))
+    world.slow = random.choice((0, 0.05))
+    rig.harsh = random.random() < 0.4
+    rig.spoilt = random.random() < 0.2
+    with suppress(Found):
+        _run(rig, random)
+    return rig.verdict
+
+
+def _run(rig: Rig, random: Random) -> None:
+    world, names = rig.world, list(rig.nodes)
+    for node in rig.nodes.values():
+        node.core = Copies(node.name, 1, rig.terms, Random(0), 0.0)
+    for node in rig.nodes.values():
+        node.start([])
+    world.at(0.1, rig.load)
+    at = 4.0
+    while at < LENGTH_S - 2:
+        world.at(at, _fault, rig, random, names)
+        at += random.expovariate(0.8) if rig.harsh else 7.0
+    if rig.spoilt:
+        world.at(LENGTH_S + 1, _spoil, rig, random)
+    world.run(LENGTH_S)
+    world.cut.clear()
+    world.loss = world.double = world.slow = 0.0
+    for node in rig.nodes.values():
+        rig.back(node, [])
+    world.run(LENGTH_S + HEALED_S)
+    _judge(rig)
+
+
+def _fault(rig: Rig, random: Random, names: list[str]) -> None:
+    world, node = rig.world, rig.nodes[random.choice(names)]
+    what = random.choice(("kill", "kill", "cut", "one way", "nonsense", "late")) if rig.harsh else "kill"
+    rig.count(what)
+    if what == "kill":
+        kept = node.folder if random.random() < 0.6 else []
+        rig.kill(node)
+        world.after(random.uniform(0.1, 2.0), rig.back, node, list(kept))
+    elif what in ("cut", "one way"):
+        side = random.sample(names, random.randint(1, len(names) - 1))
+        world.part(side, set(names) - set(side), what == "cut")
+        world.after(random.uniform(0.5, 4.0), world.cut.clear)
+    elif node.core is not None:
+        row = Row(USE, random.choice(rig.customers), "n0", 1, 10**6, (float("inf"),))
+        if what == "late" and node.folder:  # news of a former time arrives once more
+            row = random.choice(node.folder)
+        node.core.hear(node.clock.now(), "n1", "rows", ([row],))
+        node.settle()
+
+
+def _spoil(rig: Rig, random: Random) -> None:
+    """A copy in one holder is not what was told."""
+    live = [node for node in rig.nodes.values() if node.core is not None]
+    random.shuffle(live)
+    for node in live:
+        assert node.core is not None
+        rows = [
+            row
+            for shard in sorted(node.core.held)
+            for row in node.core.store.shard(shard)
+            if (row.node, row.start) != (node.name, node.starts)
+        ]
+        if rows:
+            row = random.choice(rows)
+            spoilt = row._replace(figures=(row.figures[0] * random.choice((0.5, 2.0)),))
+            held = node.core.store.rows[shard_of(row.kind, row.key)]
+            node.core.store._put(shard_of(row.kind, row.key), held, row, spoilt)
+            rig.count("spoilt")
+            return
+
+
+def _judge(rig: Rig) -> None:
+    for customer in rig.customers:
+        shard = shard_of(USE, customer)
+        holders = holders_of(shard, rig.members(), rig.terms.copies, rig.zones)
+        stores = {name: core.store for name in holders if (core := rig.nodes[name].core) is not None}
+        if len({store.digest(shard) for store in stores.values()}) > 1:
+            rig.broken(f"{', '.join(stores)} hold different copies of {customer}'s shard {shard}")
+        true = sum(units for (whose, _, _), units in rig.truth.items() if whose == customer)
+        for name, store in stores.items():
+            used = store.used(customer)
+            if not rig.spoilt and used > true + 1e-6:
+                rig.broken(f"{name} holds that {customer} drew {used:g}, and all together drew {true:g}")
+            if (
+                not rig.spoilt
+                and not rig.harsh
+                and not rig.world.lost
+                and rig.terms.budget > 1000
+                and used < true - 1e-6
+            ):
+                rig.broken(f"{name} holds that {customer} drew {used:g}, and all together drew {true:g}")
+    for node in rig.nodes.values():
+        if node.core is not None and not node.core.caught_up:
+            rig.broken(f"{node.name} has not caught up after all faults had ended")
