--- a/merlintally/cli/checking.py
+++ b/merlintally/cli/checking.py
@@ -16,7 +16,7 @@
 from merlintally.forms import Faults, explain, load, nearest, read
 
 UNITS = {"_s": "seconds", "_share": "a part of 1"}
-KINDS = ("deployment", "operators", "day", "profile")
+KINDS = ("deployment", "operators", "day", "profile", "scenario")
 
 
 def form_of(kind: str) -> type[msgspec.Struct]:
@@ -29,6 +29,10 @@
         from merlintally.load.profile import Profile
 
         return Profile
+    if kind == "scenario":
+        from merlintally.lab.faults.scenario import Scenario
+
+        return Scenario
     from merlintally.operators import Operators
 
     return Operators
@@ -39,6 +43,8 @@
     if path.suffix == ".json":
         return "deployment"
     keys = set(load(path))
+    if keys & {"processes", "mix", "fault", "work"}:
+        return "scenario"
     return "day" if keys & {"fleet", "like", "trouble"} else "profile" if "lane" in keys else "operators"
 
 
