One judge for all schedules, one list of how connections end, machines read as what they are

Change: Verdict, Found and Judge in lab/schedules/world.py; ENDED in cluster/links.py; work machines reads the agreed struct.

--- a/merlintally/cli/working.py
+++ b/merlintally/cli/working.py
@@ -14,26 +14,17 @@
 
 from merlintally.cli.cluster import ask, cluster_part, json_option, node_option, operators_option, refuse
 from merlintally.cli.front import told
+from merlintally.cluster.work.state import LIMIT, Machine, machines_of
 from merlintally.forms import Faults, load, read
 
 FILE = click.Path(dir_okay=False, path_type=Path)
 WAIT_S = 0.5  # between questions
 
 
-class Machines(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class Machines(msgspec.Struct, frozen=True):
     """A file with the list of machines: tables [[machine]]."""
 
-    machine: tuple[MachineForm, ...]
-
-
-class MachineForm(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    name: str
-    pool: str
-    zone: str
-    edges: tuple[str, ...] = ()
-    servers: tuple[str, ...] = ()
-    bears: float = 0.0
-    refuge: bool = False
+    machine: tuple[Machine, ...]
 
 
 by_option = click.option(
@@ -68,11 +59,9 @@
     Each has name, pool, zone, edges (names of its edge nodes), servers (of its app servers), bears
     (executions a second, where known) and refuge (true: nodes that hear nothing go on sending there).
     """
-    from merlintally.cluster.work.state import Machine, machines_of
-
     found = read(load(file), Machines)
     try:
-        machines_of([Machine(**msgspec.structs.asdict(one)) for one in found.machine])
+        machines_of(found.machine)
     except ValueError as wrong:
         raise Faults([f"{file}: machine.{wrong}"]) from None
     do(operators, node, "machines", [by, msgspec.to_builtins(found.machine)])
@@ -109,8 +98,6 @@
     id_: str | None,
 ) -> None:
     """Ask for work on machines; prints the request's name."""
-    from merlintally.cluster.work.state import LIMIT
-
     for option, limit in (("--most", most), ("--most-pool", most_pool), ("--most-zone", most_zone)):
         if not LIMIT.fullmatch(limit):
             raise Faults([f"{option}: {limit!r} is neither a number nor a share like 10%"])
--- a/merlintally/cluster/links.py
+++ b/merlintally/cluster/links.py
@@ -29,6 +29,8 @@
 CODE, MOST_HELLO, MOST_FRAME, MOST_DATAGRAM = 16, 512, 8 << 20, 1400
 QUEUE = 512  # frames that wait for one node
 AGAIN_S, AGAIN_MOST_S, PATIENCE_S = 0.05, 1.0, 5.0
+# how a connection ends
+ENDED = (OSError, TimeoutError, anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError)
 SAID_S = 5.0  # between lines about frames that were dropped
 
 Hello = tuple[int, str, str, int, str]  # form, cluster, node, start, which life of it
@@ -213,15 +215,7 @@
                     await self._greet(stream)
                     again = AGAIN_S
                     await self._pour(outward, stream)
-            except (
-                OSError,
-                TimeoutError,
-                anyio.EndOfStream,
-                anyio.BrokenResourceError,
-                anyio.ClosedResourceError,
-                Bad,
-                msgspec.MsgspecError,
-            ) as wrong:
+            except (*ENDED, Bad, msgspec.MsgspecError) as wrong:
                 if isinstance(wrong, Bad):
                     self.drop(str(wrong), outward.name)
                 outward.queue.clear()  # guards against old news told first, minutes later
@@ -241,7 +235,7 @@
         async with anyio.create_task_group() as group:
 
             async def watch() -> None:
-                with suppress(anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError):
+                with suppress(*ENDED):
                     await stream.receive(1)
                 group.cancel_scope.cancel()
 
@@ -285,13 +279,7 @@
             self.drop(str(wrong), name)
         except msgspec.MsgspecError:
             self.drop("a greeting that can't be read", name)
-        except (
-            OSError,
-            TimeoutError,
-            anyio.EndOfStream,
-            anyio.BrokenResourceError,
-            anyio.ClosedResourceError,
-        ):
+        except ENDED:
             pass
         finally:
             if self.inward.get(name) is scope:
--- a/merlintally/lab/schedules/agreement.py
+++ b/merlintally/lab/schedules/agreement.py
@@ -5,31 +5,16 @@
 
 from collections.abc import Iterable
 from contextlib import suppress
-from dataclasses import dataclass, field
 from random import Random
 from typing import Any
 
 from merlintally.cluster.agreement import Config, Entry, Kept, Pace, Raft, Results, Snapshot
-from merlintally.lab.schedules.world import Drifting, World
+from merlintally.lab.schedules.world import Drifting, Found, Judge, Verdict
 
 PACE = Pace(heartbeat_s=0.1, election_s=0.4, batch=400, flight=4, chunk=40, pending=200)
 LENGTH_S, HEALED_S = 5.0, 4.0
 
 
-@dataclass(slots=True)
-class Verdict:
-    """What a schedule showed: `broken` lines (none: all held), and counts of what it caused."""
-
-    seed: int
-    broken: list[str] = field(default_factory=list)
-    counts: dict[str, int] = field(default_factory=dict)
-    finished: bool = True
-
-
-class Found(Exception):
-    """A planted mistake has shown itself; the rest of the schedule tells nothing more."""
-
-
 class Disk:
     """Rows are safe once synced; a crash leaves a part of those that were not."""
 
@@ -162,11 +147,11 @@
     return [int(one) for one in data.split()]
 
 
-class Rig:
+class Rig(Judge):
     """One schedule. Safety is looked at whenever a core has done something."""
 
     def __init__(self, seed: int, mistakes: Iterable[str] = ()) -> None:
-        self.world, self.mistakes, self.verdict = World(seed), frozenset(mistakes), Verdict(seed)
+        super().__init__(seed, mistakes)
         random = self.world.random
         count = random.choice((3, 3, 3, 4, 5))
         names = [f"v{at}" for at in range(count + 1)]
@@ -254,15 +239,6 @@
         }
         return self.verdict
 
-    def broken(self, line: str) -> None:
-        if len(self.verdict.broken) < 5:
-            self.verdict.broken.append(f"{self.world.now:.3f} {line}")
-        if self.mistakes:
-            raise Found
-
-    def count(self, what: str) -> None:
-        self.verdict.counts[what] = self.verdict.counts.get(what, 0) + 1
-
     def _leader(self) -> Voter | None:
         led = [one for one in self.voters.values() if one.core is not None and one.core.role == "leader"]
         return self.world.random.choice(led) if led else None
--- a/merlintally/lab/schedules/members.py
+++ b/merlintally/lab/schedules/members.py
@@ -9,8 +9,7 @@
 
 from merlintally.cluster.members import Members, Rhythm
 from merlintally.cluster.members.core import DEAD, LEFT, START, STATES, SUSPECT
-from merlintally.lab.schedules.agreement import Verdict
-from merlintally.lab.schedules.world import Drifting, World
+from merlintally.lab.schedules.world import Drifting, Verdict, World
 
 USUAL = Rhythm()
 HEAD = 40  # bytes of a datagram beside its news
--- a/merlintally/lab/schedules/world.py
+++ b/merlintally/lab/schedules/world.py
@@ -4,6 +4,7 @@
 
 import heapq
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
 from random import Random
 from typing import Any
 
@@ -56,6 +57,36 @@
                     self.cut.add((b, a))
 
 
+@dataclass(slots=True)
+class Verdict:
+    """What a schedule showed: `broken` lines (none: all held), and counts of what it caused."""
+
+    seed: int
+    broken: list[str] = field(default_factory=list)
+    counts: dict[str, int] = field(default_factory=dict)
+    finished: bool = True
+
+
+class Found(Exception):
+    """A planted mistake has shown itself; the rest of the schedule tells nothing more."""
+
+
+class Judge:
+    """A schedule's world and what it shows."""
+
+    def __init__(self, seed: int, mistakes: Iterable[str]) -> None:
+        self.world, self.mistakes, self.verdict = World(seed), frozenset(mistakes), Verdict(seed)
+
+    def broken(self, line: str) -> None:
+        if len(self.verdict.broken) < 5:
+            self.verdict.broken.append(f"{self.world.now:.3f} {line}")
+        if self.mistakes:
+            raise Found
+
+    def count(self, what: str) -> None:
+        self.verdict.counts[what] = self.verdict.counts.get(what, 0) + 1
+
+
 class Drifting:
     """A clock of one machine: monotonic, from anywhere, at a pace that is a little off."""
 
