What a killed node had written is no send after its end; counts of faults that were caused

Seen: voters-changed broke rule 1, 69 sent to s4 after its final answer, 0.09 s after its node was killed. Checked: the referee closes what a killed node had taken; the bytes were in the kernel before the kill and were read by the stand-in after it. Excluded: another node with that id (ids are drawn once).

--- a/merlintally/lab/faults/play.py
+++ b/merlintally/lab/faults/play.py
@@ -22,6 +22,7 @@
 from typing import Any
 
 from merlintally.forms import Faults
+from merlintally.lab.days import Day
 from merlintally.lab.faults.check import check, rows_of
 from merlintally.lab.faults.links import KINDS, Net, state_of
 from merlintally.lab.faults.scenario import FaultForm, Scenario
@@ -53,6 +54,19 @@
 
     diary: Book
 
+    def __init__(self, day: Day, started: float, record: Record) -> None:
+        super().__init__(day, started, record)
+        self.orphans: set[int] = set()  # of nodes that were killed with them
+
+    def died(self, node: str, now: float) -> None:
+        self.orphans |= {key for key, one in self.open.items() if one.node == node}
+        super().died(node, now)
+
+    def sent(self, node: str, trying: Try, number: int, server: Server, now: float) -> None:
+        # what a killed process had written is read by its server a while later: it was sent before
+        if trying.id not in self.orphans:
+            super().sent(node, trying, number, server, now)
+
     def taken(self, node: str, trying: Try, now: float) -> None:
         super().taken(node, trying, now)
         self.diary.add("taken", id=f"{trying.id:016x}", by=node)
@@ -210,6 +224,7 @@
         if fault.kind in KINDS:
             await self._link(fault, node.name if node is not None else fault.of)
         elif fault.kind == "kill-all":
+            self.caused["kill"] += len(self.fault_nodes)
             await asyncio.gather(*(self._process("kill", one, fault.lasts_s) for one in self.fault_nodes))
         elif node is not None:
             await self._process(fault.kind, node, fault.lasts_s)
