Copies: what differs alone goes over to one that returns; moved shards are offered, not fetched

Seen: a node that returned with its folder of 3300 rows, of which 26 were not the newest, was sent 1700 rows and all names. Counted by second and by whether it had them: names of whole shards, and whole shards that it does not hold any more, fetched so that their digest could be met.

Change: digests by bucket of a shard, names of buckets that differ; a shard that is held elsewhere now is offered by digest, then by names, and dropped once a majority of its holders has all of it.

--- a/merlintally/cluster/copies/spread.py
+++ b/merlintally/cluster/copies/spread.py
@@ -15,10 +15,12 @@
 FORMS: dict[str, Any] = {  # call -> types of its arguments
     "rows": tuple[list[Row]],  # news of rows
     "compare": tuple[int, int],  # shard, digest of it
-    "versions": tuple[
-        int, int, list[tuple[str, str, str, int, int]], bool
-    ],  # shard, from which place, names and
-    # versions, whether these are the last
+    "buckets": tuple[int, list[int]],  # shard, digests of its buckets: they are not equal
+    # shard, bucket, names with versions, whether these are all of the bucket
+    "versions": tuple[int, int, list[tuple[str, str, str, int, int]], bool],
+    # shard that its sender holds no more, digest, names in the buckets that differ
+    "offer": tuple[int, int, list[tuple[str, str, str, int, int]]],
+    "kept": tuple[int, int],  # shard, digest that was offered: all of it is held here
     "fetch": tuple[int, list[tuple[str, str, str, int]]],  # shard, names of rows that are wanted
     "same": tuple[int, int, bool],  # shard, digest that is equal, whether its sender has caught up with it
 }
@@ -83,7 +85,7 @@
         self.sure: dict[int, set[str]] = {shard: set() for shard in range(SHARDS)}
         self.caught_up = "an older folder is trusted" in mistakes and bool(list(kept))
         self.cold = False
-        self.leaving: dict[int, float] = {}  # shards held no more, until others have them
+        self.leaving: dict[int, set[str]] = {}  # shards held no more, and who has all of them
         self.counts: Counter[str] = Counter()
         self.out = Results()
 
@@ -98,7 +100,7 @@
         before, self.held = self.held, {one for one in range(SHARDS) if self.name in self._holders(one)}
         for shard in before - self.held:
             if self.store.digest(shard):
-                self.leaving[shard] = now
+                self.leaving[shard] = set()
         for shard in self.held & set(self.leaving):
             del self.leaving[shard]
         for shard in (
@@ -117,7 +119,8 @@
         name = (kind, key, self.name, self.start)
         had = self.own.get(name)  # not the store's, which forgets shards that are held elsewhere
         row = self.own[name] = Row(*name, had.version + 1 if had is not None else 1, figures)
-        self.store.merge([row], "own")
+        if shard_of(kind, key) in self.held:
+            self.store.merge([row], "own")
         self.unsent[row.name] = telling
 
     def take_results(self) -> Results:
@@ -228,8 +231,35 @@
         if wanted:
             for shard in self.random.sample(wanted, min(8, len(wanted))):
                 self._ask(shard)
-        elif self.held or self.leaving:
-            self._ask(self.random.choice(sorted(self.held | set(self.leaving))))
+        elif self.held:
+            self._ask(self.random.choice(sorted(self.held)))
+        if self.leaving:
+            self._ask(self.random.choice(sorted(self.leaving)))
+
+    def _on_offer(
+        self, sender: str, shard: int, digest: int, names: list[tuple[str, str, str, int, int]]
+    ) -> None:
+        wanted = []
+        for kind, key, node, start, version in names:
+            row = self.store.get(kind, key, node, start)
+            if row is None or row.version < version:
+                wanted.append((kind, key, node, start))
+        if wanted:
+            self._send(sender, "fetch", shard, wanted)
+        else:
+            self._send(sender, "kept", shard, digest)
+
+    def _on_kept(self, sender: str, shard: int, digest: int) -> None:
+        if shard in self.leaving and digest == self.store.digest(shard):
+            self._passed_on(sender, shard)
+
+    def _passed_on(self, sender: str, shard: int) -> None:
+        """A holder has all that is here of a shard that this node holds no more."""
+        self.leaving[shard].add(sender)
+        others = self._holders(shard)
+        if 2 * len(self.leaving[shard] & set(others)) > len(others):
+            self.store.drop(shard)
+            del self.leaving[shard]
 
     def _ask(self, shard: int) -> None:
         others = [one for one in self._holders(shard) if one != self.name]
@@ -241,34 +271,49 @@
             self._send(sender, "same", shard, digest, self._settled(shard))
             self._met(sender, shard, False)
             return
-        names = [(*row.name, row.version) for row in self.store.shard(shard)]
-        chunk = self.terms.chunk
-        for at in range(0, max(1, len(names)), chunk):
-            self._send(sender, "versions", shard, at, names[at : at + chunk], at + chunk >= len(names))
+        self._send(sender, "buckets", shard, self.store.buckets(shard))
+
+    def _on_buckets(self, sender: str, shard: int, theirs: list[int]) -> None:
+        """Names and versions of the buckets that differ, and of no others."""
+        mine = self.store.buckets(shard)
+        differ = {at for at, (one, other) in enumerate(zip(mine, theirs, strict=False)) if one != other}
+        names: dict[int, list[tuple[str, str, str, int, int]]] = {at: [] for at in differ}
+        for row in self.store.shard(shard):
+            if row.bucket in differ:
+                names[row.bucket].append((*row.name, row.version))
+        if shard in self.leaving:  # what its holder lacks it fetches, and nothing comes back
+            offered = [one for found in names.values() for one in found]
+            self._send(sender, "offer", shard, self.store.digest(shard), offered)
+            return
+        for at, found in names.items():
+            chunk, whole = self.terms.chunk, len(found) <= self.terms.chunk
+            for first in range(0, max(1, len(found)), chunk):
+                self._send(sender, "versions", shard, at, found[first : first + chunk], whole)
 
     def _on_versions(
-        self, sender: str, shard: int, at: int, names: list[tuple[str, str, str, int, int]], last: bool
+        self, sender: str, shard: int, bucket: int, names: list[tuple[str, str, str, int, int]], whole: bool
     ) -> None:
         """Fetch what is newer there, tell what is newer here: what differs goes over, and no more."""
         theirs = {(kind, key, node, start): version for kind, key, node, start, version in names}
-        wanted, newer = [], []
+        wanted, newer, same = [], [], []
         for name, version in theirs.items():
             row = self.store.get(*name)
-            if row is None or row.version < version or row.version == version and shard in self.store.suspect:
+            if row is None or row.version < version:
                 wanted.append(name)
             elif row.version > version:
                 newer.append(row)
-        if last and at == 0:
-            newer += [row for row in self.store.shard(shard) if row.name not in theirs]
+            else:
+                same.append(name)
+        if whole:
+            newer += [
+                row for row in self.store.shard(shard) if row.bucket == bucket and row.name not in theirs
+            ]
+        if not wanted and not newer:
+            wanted = same  # the same names and versions, and another digest: copies that differ
         if wanted:
             self._send(sender, "fetch", shard, wanted)
         for first in range(0, len(newer), self.terms.chunk):
             self._send(sender, "rows", newer[first : first + self.terms.chunk])
-        if not wanted and not newer and last and at == 0:
-            # the same names and versions, and another digest: copies that differ
-            self._send(
-                sender, "fetch", shard, [row.name for row in self.store.shard(shard)][: self.terms.chunk]
-            )
 
     def _on_fetch(self, sender: str, shard: int, names: list[tuple[str, str, str, int]]) -> None:
         rows = [row for name in names if (row := self.store.get(*name)) is not None]
@@ -278,17 +323,13 @@
     def _on_same(self, sender: str, shard: int, digest: int, sure: bool) -> None:
         if digest == self.store.digest(shard):
             self._met(sender, shard, sure)
+            if shard in self.leaving:
+                self._passed_on(sender, shard)
 
     def _met(self, sender: str, shard: int, sure: bool) -> None:
         self.met[shard].add(sender)
         if sure:
             self.sure[shard].add(sender)
-        if shard in self.leaving:
-            others = self._holders(shard)
-            if sum(one in self.met[shard] for one in others) * 2 > len(others):
-                self.store.drop(shard)
-                del self.leaving[shard]
-                self.met[shard].clear()
 
     def _send(self, to: str, call: str, *args: Any) -> None:
         if call == "rows":
--- a/merlintally/cluster/copies/store.py
+++ b/merlintally/cluster/copies/store.py
@@ -12,12 +12,14 @@
 from collections.abc import Iterable, Iterator
 from hashlib import blake2b
 from typing import NamedTuple
+from zlib import crc32
 
 from merlintally.cluster.copies.holders import SHARDS, shard_of
 
 USE, SERVER, OUT, MARK = "use", "server", "out", "mark"  # kinds of rows
 WIDTHS = {USE: 1, SERVER: 4, OUT: 1, MARK: 1}  # figures of a row
 MOST_KEY, MOST_FIGURE = 200, 1e12
+BUCKETS = 16  # of a shard, whose digests tell where two copies of it differ
 
 MISTAKES = (  # planted by name, in tests only
     "a merge that adds",
@@ -59,6 +61,10 @@
             return f"{self.key:.40}: a figure that is negative, not finite or too large"
         return ""
 
+    @property
+    def bucket(self) -> int:
+        return crc32(repr(self.name).encode()) % BUCKETS
+
     def digest(self) -> int:
         """Sums of digests tell whether two sets of rows are the same, whatever their order."""
         return int.from_bytes(blake2b(repr(tuple(self)).encode(), digest_size=8).digest(), "big")
@@ -70,7 +76,7 @@
 
     def __init__(self, mistakes: frozenset[str] = frozenset()) -> None:
         self.rows: dict[int, dict[tuple[str, str, str, int], Row]] = {}
-        self.digests: dict[int, int] = {}
+        self.digests: dict[int, list[int]] = {}  # by shard and bucket of it
         self.quarantine: list[tuple[str, Row]] = []
         self.suspect: set[int] = set()  # shards in which copies differed
         self.refused = 0
@@ -113,8 +119,8 @@
         return True
 
     def _put(self, shard: int, held: dict[tuple[str, str, str, int], Row], had: Row | None, row: Row) -> None:
-        changed = self.digests.get(shard, 0) ^ row.digest()
-        self.digests[shard] = changed ^ (had.digest() if had is not None else 0)
+        buckets = self.digests.setdefault(shard, [0] * BUCKETS)
+        buckets[row.bucket] ^= row.digest() ^ (had.digest() if had is not None else 0)
         held[row.name] = row
 
     def drop(self, shard: int) -> None:
@@ -124,7 +130,13 @@
         self.suspect.discard(shard)
 
     def digest(self, shard: int) -> int:
-        return self.digests.get(shard, 0)
+        found = 0
+        for one in self.digests.get(shard, ()):
+            found ^= one
+        return found
+
+    def buckets(self, shard: int) -> list[int]:
+        return list(self.digests.get(shard, [0] * BUCKETS))
 
     def shard(self, shard: int) -> Iterator[Row]:
         return iter(self.rows.get(shard, {}).values())
--- a/merlintally/lab/schedules/copies.py
+++ b/merlintally/lab/schedules/copies.py
@@ -55,6 +55,8 @@
         found = core.take_results()
         for to, call, args in found.sends:
             self.bytes += size_of(call, args)
+            if to == self.rig.counts_to:
+                self.rig.came += size_of(call, args)
             if to in self.rig.nodes:
                 world.send(self.name, to, self.rig.deliver, to, self.name, call, args)
         for event, fields in found.events:
@@ -79,7 +81,8 @@
 def size_of(call: str, args: tuple[Any, ...]) -> int:
     """Bytes of a message, about."""
     rows = next((one for one in args if isinstance(one, list)), [])
-    return 40 + sum(60 if isinstance(one, Row) else 36 for one in rows)
+    sizes = {Row: 60, tuple: 36, int: 9}
+    return 40 + sum(sizes[type(one)] for one in rows)
 
 
 class Rig(Judge):
@@ -95,6 +98,7 @@
         self.customers = [f"c{at}" for at in range(30)]
         self.spoilt = self.harsh = False
         self.caught: list[float] = []
+        self.counts_to, self.came = "", 0  # bytes that came to one node
 
     def members(self) -> list[str]:
         return [name for name, node in self.nodes.items() if node.core is not None]
--- a/merlintally/lab/schedules/measure.py
+++ b/merlintally/lab/schedules/measure.py
@@ -8,12 +8,15 @@
 
 import sys
 from concurrent.futures import ProcessPoolExecutor
+from random import Random
 from statistics import mean, median
 from typing import Any
 
+from merlintally.cluster.copies import Copies as CopiesCore
+from merlintally.cluster.copies import Terms as CopyTerms
 from merlintally.cluster.members import Rhythm
 from merlintally.cluster.work.coordinator import Terms
-from merlintally.lab.schedules import members
+from merlintally.lab.schedules import copies, members
 from merlintally.lab.schedules.work import Node, Rig
 
 SIZES, MACHINES, SEEDS = (10, 50, 200, 500), (5, 50, 200, 500), (1, 2, 3)
@@ -83,14 +86,49 @@
     }
 
 
+def copies_row(size: int, rows: int, folder: bool) -> dict[str, float]:
+    """`rows` rows of all nodes together; one node is away while a hundredth of them change, and returns with
+    the folder that it left or with none. Gives seconds until it has caught up, what came to it in bytes, and
+    bytes a second a node at rest."""
+    rig = copies.Rig(1, size, CopyTerms())
+    rig.customers = [f"c{at}" for at in range(rows)]
+    names, world = list(rig.nodes), rig.world
+    for node in rig.nodes.values():
+        node.core = CopiesCore(node.name, 1, rig.terms, Random(0), 0.0)
+    for node in rig.nodes.values():
+        node.start([])
+    for at, customer in enumerate(rig.customers):
+        rig.nodes[names[at % size]].draw(customer, 1.0)
+    world.run(60.0 + rows * 360 / rig.terms.budget / size)
+    spent = sum(node.bytes for node in rig.nodes.values())
+    world.run(world.now + 10.0)
+    rest = (sum(node.bytes for node in rig.nodes.values()) - spent) / 10.0 / size
+    gone = rig.nodes[names[0]]
+    assert gone.core is not None
+    kept = [row for shard in gone.core.store.rows for row in gone.core.store.shard(shard)] if folder else []
+    rig.kill(gone)
+    world.run(world.now + 5.0)
+    for customer in rig.customers[1::100]:
+        rig.nodes[names[1]].draw(customer, 1.0)
+    world.run(world.now + 10.0)
+    rig.caught.clear()
+    rig.came = 0
+    rig.counts_to = gone.name
+    rig.back(gone, kept)
+    world.run(world.now + 60.0)
+    return {"caught_s": rig.caught[0] if rig.caught else float("inf"), "came": rig.came, "rest": rest}
+
+
 def main() -> int:
     what = sys.argv[1] if len(sys.argv) > 1 else ""
-    if what not in ("members", "work", "goes-on"):
+    if what not in ("members", "work", "goes-on", "copies"):
         print(__doc__, file=sys.stderr)
         return 2
     with ProcessPoolExecutor() as pool:
         if what == "members":
             print_members(pool)
+        elif what == "copies":
+            print_copies(pool)
         else:
             print_work(pool, what == "goes-on")
     return 0
@@ -112,6 +150,22 @@
         print(f"| {size} | {name} | {known} | {wrong} | {row['bytes_a_second']:.0f} |")
 
 
+def print_copies(pool: ProcessPoolExecutor) -> None:
+    tries = [
+        (size, rows, folder, pool.submit(copies_row, size, rows, folder))
+        for size in (5, 20, 50)
+        for rows in (1000, 5000)
+        for folder in (True, False)
+    ]
+    print(
+        "| nodes | rows | returns with | caught up after, s | bytes that came | bytes a second, a node, at rest |"
+    )
+    print("| --- | --- | --- | --- | --- | --- |")
+    for size, rows, folder, found in tries:
+        row, told = found.result(), "its folder" if folder else "nothing"
+        print(f"| {size} | {rows} | {told} | {row['caught_s']:.1f} | {row['came']:.0f} | {row['rest']:.0f} |")
+
+
 def print_work(pool: ProcessPoolExecutor, kill: bool) -> None:
     tries = [(size, [pool.submit(work_row, size, seed, kill) for seed in SEEDS]) for size in MACHINES]
     print("| machines | took, s | least possible, s | of it | broken | all done |", end="")
