--- a/merlintally/lab/schedules/measure.py
+++ b/merlintally/lab/schedules/measure.py
@@ -157,9 +157,8 @@
         for rows in (1000, 5000)
         for folder in (True, False)
     ]
-    print(
-        "| nodes | rows | returns with | caught up after, s | bytes that came | bytes a second, a node, at rest |"
-    )
+    print("| nodes | rows | returns with | caught up after, s | bytes that came in a minute |", end="")
+    print(" bytes a second, a node, at rest |")
     print("| --- | --- | --- | --- | --- | --- |")
     for size, rows, folder, found in tries:
         row, told = found.result(), "its folder" if folder else "nothing"
