--- a/merlintally/cluster/members/core.py
+++ b/merlintally/cluster/members/core.py
@@ -17,12 +17,13 @@
 ALIVE, SUSPECT, DEAD, LEFT = 0, 1, 2, 3  # states; of the same incarnation the higher one holds
 STATES = ("alive", "suspect", "dead", "left")
 START = 1 << 20  # by which each start of a node raises its incarnation
-News = tuple[str, int, int, str]  # name, state, incarnation, address
+News = tuple[str, int, int, str, str]  # name, state, incarnation, address, who suspects it
 
 FORMS: dict[str, Any] = {  # call -> types of its arguments
     "ping": tuple[int, str, list[News]],  # number, who is meant, news
     "ask": tuple[int, str, list[News]],  # number, who is to be probed for the sender, news
     "ack": tuple[int, list[News]],
+    "gossip": tuple[list[News]],
     "nack": tuple[int, list[News]],  # who was asked has no answer yet, but is there
     "state": tuple[bool, list[News]],  # all that the sender knows; whether it wants the same
 }
@@ -50,6 +51,8 @@
     beta: float = 6.0
     confirmations: int = 3  # that bring a suspicion down to its least
     told: float = 3.0  # times log10(members + 1) that a piece of news is told on
+    gossip_s: float = 0.25  # between datagrams of news alone, while there is any
+    fan: int = 2  # to so many others
     room: int = 1100  # bytes of news in one datagram
     exchange_s: float = 15.0  # between full exchanges with one other
     again_s: float = 5.0  # between probes of one of the dead
@@ -72,7 +75,7 @@
     deaths_at: float = 0.0
     until: float = 0.0  # when a suspicion ends
     began: float = 0.0
-    accusers: set[str] = field(default_factory=set)
+    accusers: list[str] = field(default_factory=list)  # the last one is told on
 
 
 @dataclass(slots=True)
@@ -119,6 +122,7 @@
         self.period_at = now + random.random() * rhythm.period_s
         self.answer_at = 0.0
         self.exchange_at = now + random.random()
+        self.gossip_at = now
         self.again_at = now + rhythm.again_s
         self.results = Results()
         self._tell(name)
@@ -152,6 +156,8 @@
         due = [self.period_at, self.exchange_at, self.again_at]
         if self.answer_at:
             due.append(self.answer_at)
+        if self.queue:
+            due.append(self.gossip_at)
         due += [one.until for one in self.known.values() if one.state == SUSPECT]
         due += [until for _, _, until, nacked in self.relays.values() if not nacked]
         found.wake_at = min(due)
@@ -162,7 +168,7 @@
         self.now = now
         for one in list(self.known.values()):
             if one.state == SUSPECT and now >= one.until and "suspicion never ends" not in self.mistakes:
-                self._news(self.name, (one.name, DEAD, one.incarnation, one.address))
+                self._news((one.name, DEAD, one.incarnation, one.address, ""))
             elif one.state >= DEAD and now - one.since > self.rhythm.forget_s:
                 del self.known[one.name]
                 self.queue.pop(one.name, None)
@@ -186,6 +192,10 @@
             self.exchange_at = now + self.rhythm.exchange_s * (0.5 + self.random.random())
             for name in self._some(1, ()):
                 self.results.streams.append((name, "state", (True, self._all())))
+        if self.queue and now >= self.gossip_at:
+            self.gossip_at = now + self.rhythm.gossip_s
+            for name in self._some(self.rhythm.fan, ()):
+                self._send(name, "gossip")
         if now >= self.again_at:
             self.again_at = now + self.rhythm.again_s * (0.5 + self.random.random())
             dead = [name for name, one in self.known.items() if one.state == DEAD]
@@ -200,7 +210,7 @@
         self.now = now
         if call != "state":
             for piece in args[-1]:
-                self._news(sender, piece)
+                self._news(piece)
         getattr(self, f"_{call}")(sender, *args)
 
     # Probes.
@@ -209,7 +219,7 @@
         probed = self.known.get(self.probing)
         if not self.answered and probed is not None and probed.state <= SUSPECT:
             self.health = min(self.rhythm.worst, self.health + 1 + max(0, self.asked - self.nacks - 1))
-            self._news(self.name, (probed.name, SUSPECT, probed.incarnation, probed.address))
+            self._news((probed.name, SUSPECT, probed.incarnation, probed.address, self.name))
         elif self.probing:
             self.health = max(0, self.health - 1)
 
@@ -259,22 +269,25 @@
         elif number == self.number and self.asked:
             self.answered = True  # through another
 
+    def _gossip(self, sender: str, _: list[News]) -> None:
+        """News alone."""
+
     def _nack(self, sender: str, number: int, _: list[News]) -> None:
         if number == self.number:
             self.nacks += 1
 
     def _state(self, sender: str, wants: bool, news: list[News]) -> None:
         for piece in news:
-            self._news(sender, piece)
+            self._news(piece)
         if wants:
             self.results.streams.append((sender, "state", (False, self._all())))
 
     # News.
 
-    def _news(self, source: str, piece: News) -> None:
+    def _news(self, piece: News) -> None:
         """The one place where a member's state changes: a higher incarnation holds, and of the same one the
         higher state. Only a member itself raises its incarnation."""
-        name, state, incarnation, address = piece
+        name, state, incarnation, address, accuser = piece
         if name == self.name:
             if (
                 state != ALIVE
@@ -290,10 +303,11 @@
         one = self.known.get(name)
         if one is None:
             one = self.known[name] = Member(name, address, state, incarnation, self.now)
+            one.accusers, one.began, one.until = [accuser], self.now, self.now + self._patience(0)
             self._changed(one)
             return
         if one.state == SUSPECT and state == SUSPECT and incarnation == one.incarnation:
-            self._confirmed(one, source)
+            self._confirmed(one, accuser)
             return
         newer = incarnation > one.incarnation
         if "dead returns by the same incarnation" in self.mistakes and one.state == DEAD:
@@ -312,7 +326,7 @@
             if state == DEAD:
                 one.deaths, one.deaths_at = self._held(one, self.now) + 1, self.now
             if state == SUSPECT:
-                one.accusers, one.began = {source}, self.now
+                one.accusers, one.began = [accuser], self.now
                 one.until = self.now + self._patience(0)
             self._changed(one)
         self._tell(name)
@@ -321,9 +335,11 @@
         self.results.changed.append((one.name, one.state))
         self._tell(one.name)
 
-    def _confirmed(self, one: Member, source: str) -> None:
-        if source not in one.accusers and len(one.accusers) <= self.rhythm.confirmations:
-            one.accusers.add(source)
+    def _confirmed(self, one: Member, accuser: str) -> None:
+        """Another node's own probe has failed, too. Guards against one node's suspicion that counts as many
+        since many pass it on."""
+        if accuser and accuser not in one.accusers and len(one.accusers) <= self.rhythm.confirmations:
+            one.accusers.append(accuser)
             one.until = one.began + self._patience(len(one.accusers) - 1)
             self._tell(one.name)
 
@@ -343,7 +359,8 @@
 
     def _row(self, name: str) -> News:
         one = self.known[name]
-        return (name, one.state, one.incarnation, one.address)
+        accuser = one.accusers[-1] if one.state == SUSPECT and one.accusers else ""
+        return (name, one.state, one.incarnation, one.address, accuser)
 
     def _all(self) -> list[News]:
         return [self._row(name) for name in self.known]
@@ -360,7 +377,7 @@
         if "news is never told on" not in self.mistakes:
             for name in sorted(self.queue, key=self.queue.__getitem__):
                 row = self._row(name)
-                room -= len(name) + len(row[3]) + 16
+                room -= len(name) + len(row[3]) + len(row[4]) + 16
                 if room < 0:
                     break
                 news.append(row)
--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -138,7 +138,7 @@
 
     async def act() -> None:
         a.send("b", "r.begin", (7,))
-        a.tell("b", "m.ack", (3, [("x", 0, 1, "1.2.3.4:5")]))
+        a.tell("b", "m.ack", (3, [("x", 0, 1, "1.2.3.4:5", "")]))
         await ends.until(lambda: len(ends.heard["b"]) == 2)
         assert await ask(("127.0.0.1", ends.ports["a"]), "c", "s", "id", "status", [1]) == (
             True,
@@ -149,7 +149,7 @@
 
     ends.run(act, a, b)
     assert sorted(ends.heard["b"], key=str) == [
-        ("a", "m.ack", (3, [("x", 0, 1, "1.2.3.4:5")])),
+        ("a", "m.ack", (3, [("x", 0, 1, "1.2.3.4:5", "")])),
         ("a", "r.begin", (7,)),
     ]
     assert "dropped from" in ends.log.getvalue()
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -38,22 +38,22 @@
         (ALIVE, 1, LEFT),
         (ALIVE, START, ALIVE),
     ):
-        core.hear(1.0, "c", "ping", (1, "a", [("b", state, incarnation, "b:1")]))
+        core.hear(1.0, "c", "ping", (1, "a", [("b", state, incarnation, "b:1", "c")]))
         assert core.state("b") == expected
 
 
 def test_a_node_refutes_what_is_said_of_it_and_is_more_patient_with_others() -> None:
     core = one()
-    core.hear(1.0, "b", "ping", (1, "a", [("a", SUSPECT, START, "a:1")]))
+    core.hear(1.0, "b", "ping", (1, "a", [("a", SUSPECT, START, "a:1", "b")]))
     assert core.incarnation == START + 1 and core.health == 1
     news = [row for _, _, args in core.take_results().sends for row in args[-1] if row[0] == "a"]
-    assert news == [("a", ALIVE, START + 1, "a:1")]
+    assert news == [("a", ALIVE, START + 1, "a:1", "")]
 
 
 def test_one_that_flaps_is_not_steady_until_it_has_lasted() -> None:
     core = one()
     for at in range(4):
-        news = [("b", DEAD, 2 * at, "b:1"), ("b", ALIVE, 2 * at + 1, "b:1")]
+        news = [("b", DEAD, 2 * at, "b:1", ""), ("b", ALIVE, 2 * at + 1, "b:1", "")]
         core.hear(at + 1.0, "c", "ping", (1, "a", news))
     assert core.state("b") == ALIVE and not core.steady("b", 5.0) and core.steady("b", 90.0)
 
@@ -62,10 +62,10 @@
     others = {f"node-{at}": f"10.0.0.{at}:7600" for at in range(200)}
     core = Members("a", "a:1", others, 1, Rhythm(), Random(1), 0.0)
     for at in range(200):
-        core.hear(1.0, "b", "ping", (1, "x", [(f"node-{at}", SUSPECT, 5, f"10.0.0.{at}:7600")]))
+        core.hear(1.0, "b", "ping", (1, "x", [(f"node-{at}", SUSPECT, 5, f"10.0.0.{at}:7600", "x")]))
     core.wake(5.0)
     for _, _, args in core.take_results().sends:
-        assert sum(len(row[0]) + len(row[3]) + 16 for row in args[-1]) <= Rhythm().room
+        assert sum(len(row[0]) + len(row[3]) + len(row[4]) + 16 for row in args[-1]) <= Rhythm().room
 
 
 def test_every_mistake_has_a_name_of_its_own() -> None:
