Submissions of a stopped node are no longer judged by what its clients did meanwhile

Change: what was open at a node that was killed or stopped, and is closed by the referee since, is not held against it when bytes of it arrive. All else about it still is (two effects, records, answers twice).

--- a/merlintally/lab/faults/play.py
+++ b/merlintally/lab/faults/play.py
@@ -56,15 +56,26 @@
 
     def __init__(self, day: Day, started: float, record: Record) -> None:
         super().__init__(day, started, record)
-        self.orphans: set[int] = set()  # of nodes that were killed with them
+        self.orphans: set[int] = set()  # of nodes that were killed, or stopped while they had them
 
     def died(self, node: str, now: float) -> None:
-        self.orphans |= {key for key, one in self.open.items() if one.node == node}
+        self._orphan(node)
         super().died(node, now)
 
+    def excused(self, node: str) -> None:
+        self._orphan(node)
+        super().excused(node)
+
+    def _orphan(self, node: str) -> None:
+        self.orphans |= {key for key, one in self.open.items() if one.node == node}
+
+    def _late(self, trying: Try) -> bool:
+        """What a killed process had written is read a while later, and one that was stopped can't have seen
+        that its client left: neither is held against it."""
+        return trying.id in self.orphans and trying.id not in self.open
+
     def sent(self, node: str, trying: Try, number: int, server: Server, now: float) -> None:
-        # what a killed process had written is read by its server a while later: it was sent before
-        if trying.id not in self.orphans:
+        if not self._late(trying):
             super().sent(node, trying, number, server, now)
 
     def taken(self, node: str, trying: Try, now: float) -> None:
@@ -72,7 +83,8 @@
         self.diary.add("taken", id=f"{trying.id:016x}", by=node)
 
     def answered(self, node: str, trying: Try, kind: str, now: float) -> None:
-        super().answered(node, trying, kind, now)
+        if not self._late(trying):
+            super().answered(node, trying, kind, now)
         self.diary.add("answered", id=f"{trying.id:016x}", by=node, how=kind)
 
     def reached(self, trying: Try, number: int, server: Server, now: float) -> None:
