--- a/merlintally/lab/schedules/measure.py
+++ b/merlintally/lab/schedules/measure.py
@@ -35,10 +35,12 @@
 
 
 def work_row(size: int, seed: int, kill: bool = False) -> dict[str, Any]:
-    """Work on all of `size` machines, 10% out at once, each touched for WORK_S and warm in 15 s. Least
-    possible: the machines
-    of a zone one batch after another, each as long as it is touched and then cold. `kill`: whoever leads is
-    killed every 20 s and comes back 5 s later; `goes_on_s` has the times until the next machine was out."""
+    """Work on all of `size` machines, 10% out at once, each touched for WORK_S and warm in 15 s.
+
+    Least possible: the machines of a zone one batch after another, each as long as it is touched and then
+    cold. `kill`: whoever leads is killed every 20 s and comes back 5 s later; `goes_on_s` has the times until
+    the next machine was out.
+    """
     terms = Terms(lease_s=3.0, renew_s=0.5, drift=0.02, warm_s=1.0 if kill else 15.0)
     rig = Rig(seed, size, 3, terms=terms, rhythm=Rhythm(), drift=0.01)
     work_s = 2.0 if kill else WORK_S
