A follower that goes back before what it has confirmed no longer stops its leader's flow

Looked at with the state of all voters at the end: the leader's flow to one follower was full (4 messages out), and its heartbeats were refused with a hint below what that follower had confirmed.

Checked: the follower had a tail of another leader's of one long term; _parted goes back over the whole term, to its commit, which lay one before what it had confirmed to this leader. At fault: the leader passed over refusals below the confirmed index as stale.

Change: such a refusal has it go on from the confirmed index. A stale one costs one message.

--- a/merlintally/cluster/agreement/core.py
+++ b/merlintally/cluster/agreement/core.py
@@ -418,7 +418,10 @@
             self._count()
             if sender == self.successor:
                 self._hand_on()
-        elif index >= peer.match and peer.sent < 0:
+        elif peer.sent < 0:
+            # Guards against a leader that stands still: a follower goes back over a whole term to where the
+            # logs
+            # may part, which can lie before what it has confirmed. From there on they are the same.
             peer.next, peer.probing = max(peer.match, index) + 1, True
             peer.flying.clear()
             self._send_append(
