A torn write is one that was promised to nobody: the fault adds it and cuts nothing off

Seen: 9 minutes of work-round at nine nodes: 76 turns, 22 leaders, 18775 submissions, no promise broken, but work stood still at the end: n5 did not start any more, its log had 15 bytes. Checked: the fault torn cut 3 bytes off what was synced, one record more at each of its starts, down to the file's head, which is written whole or not at all. At fault: the fault, not the node; on a voter it took back what was promised.

Change: torn adds the beginning of a record that nobody was promised.

--- a/merlintally/lab/faults/play.py
+++ b/merlintally/lab/faults/play.py
@@ -21,6 +21,7 @@
 from pathlib import Path
 from typing import Any
 
+from merlintally.cluster.disk import record_of
 from merlintally.forms import Faults
 from merlintally.lab.days import Day
 from merlintally.lab.faults.check import check, rows_of
@@ -331,8 +332,9 @@
             os.replace(copy, node.state)
         elif kind == "empty":
             shutil.rmtree(node.state, ignore_errors=True)
-        elif kind == "torn" and log.exists():
-            os.truncate(log, max(0, log.stat().st_size - 3))
+        elif kind == "torn" and log.exists():  # a record that was being written, and promised to nobody
+            with log.open("ab") as file:
+                file.write(record_of(("vote", 10**6, "nobody"))[:-3])
         elif kind == "spoilt":
             data = bytearray(log.read_bytes())
             data[30] ^= 0xFF
