A request whose last machine came back while it was paused is finished when resumed

At fault: Work looks whether a request is done only when a turn ends, and not for a paused one. Change: it looks at resume, too.

--- a/merlintally/cluster/work/state.py
+++ b/merlintally/cluster/work/state.py
@@ -335,8 +335,13 @@
         request = self.requests.get(turn.request)
         if request is not None:
             request.done.append(turn.machine)
-            if request.state == OPEN and set(request.done) >= set(request.machines) & set(self.machines):
-                request.state = FINISHED
+            self._look(request)
+
+    def _look(self, request: Request) -> None:
+        """Whether all of a request is done. Guards against one whose last machine came back while it was
+        paused, which would stay open for good."""
+        if request.state == OPEN and set(request.done) >= set(request.machines) & set(self.machines):
+            request.state = FINISHED
 
     def _pause(self, id_: str, by: str) -> str:
         self._open(id_).state = PAUSED
@@ -344,7 +349,9 @@
         return f"{id_}: paused by {by}"
 
     def _resume(self, id_: str, by: str) -> str:
-        self._open(id_).state = OPEN
+        request = self._open(id_)
+        request.state = OPEN
+        self._look(request)
         return f"{id_}: resumed by {by}"
 
     def _cancel(self, id_: str, by: str) -> str:
--- a/tests/test_work.py
+++ b/tests/test_work.py
@@ -139,6 +139,21 @@
     assert work.take(9, entry("d", "done", "m0", "ann"))[1] == ""
 
 
+def test_a_request_whose_last_machine_came_back_while_it_was_paused_is_finished_when_resumed() -> None:
+    work = agreed(
+        ("call", 1, "m0", "r1"),
+        ("grant", 1, "m0"),
+        ("out", 1, "m0"),
+        ("done", "m0", "ann"),
+        ("pause", "r1", "ann"),
+        ("back", 1, "m0"),
+        count=1,
+    )
+    assert work.requests["r1"].state == "paused"
+    work.take(9, entry("r", "resume", "r1", "ann"))
+    assert work.requests["r1"].state == "finished"
+
+
 # What the leader waits for.
 
 
