Schedules of work: a request comes after the list, and a last resume after every pause

Change: the schedule asks for work once the list is agreed on, and resumes once more when all faults have ended.

--- a/merlintally/lab/schedules/work.py
+++ b/merlintally/lab/schedules/work.py
@@ -339,21 +339,17 @@
         ]
         self.world.at(1.5, self.ask, "list", "machines", "someone", rows)
         if work:
-            self.world.at(
-                2.5,
-                self.ask,
-                "all",
-                "request",
-                "r1",
-                "someone",
-                "kernel",
-                list(self.machines),
-                list(budget),
-                0.0,
-            )
+            self.world.at(2.5, self._ask_for_all)
         self.world.at(2.6, self.look)
         self.world.at(2.6, self.load)
 
+    def _ask_for_all(self) -> None:
+        """Once the list of machines is agreed on."""
+        if self.told.get("list", (False, ""))[0]:
+            self.ask("all", "request", "r1", "someone", "kernel", list(self.machines), list(self.budget), 0.0)
+        else:
+            self.world.after(0.1, self._ask_for_all)
+
     def finished(self) -> bool:
         done = [node.core.work for node in self.nodes.values() if node.core is not None]
         return any(
@@ -441,6 +437,8 @@
     for node in rig.nodes.values():
         node.stopped_until = min(node.stopped_until, world.now)
         back(node, False)
+    # a pause may have come after its resume, each asked again until it was heard
+    rig.ask("resume:last", "resume", "r1", "someone")
     rig.finished_at = rig.until_finished(200.0)
     rig.verdict.finished = rig.finished()
     if not rig.verdict.finished and not rig.mistakes:
