Read once more: two functions, a list and a field that nobody used are gone

Need: dead code of this change: order.counted, store.all_shards, the times of kills in the measure, when a schedule of work ended.

Change: they are out; behaviour and assertions stay.

--- a/merlintally/cluster/copies/store.py
+++ b/merlintally/cluster/copies/store.py
@@ -14,7 +14,7 @@
 from typing import NamedTuple
 from zlib import crc32
 
-from merlintally.cluster.copies.holders import SHARDS, shard_of
+from merlintally.cluster.copies.holders import shard_of
 
 USE, SERVER, OUT, MARK = "use", "server", "out", "mark"  # kinds of rows
 WIDTHS = {USE: 1, SERVER: 4, OUT: 1, MARK: 1}  # figures of a row
@@ -163,7 +163,3 @@
     (5.0,)
     """
     return max(one, other, key=lambda row: row.figures)
-
-
-def all_shards() -> range:
-    return range(SHARDS)
--- a/merlintally/cluster/work/order.py
+++ b/merlintally/cluster/work/order.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from merlintally.cluster.work.state import OPEN, PAUSED, RETURNING, Machine, Request, Work
+from merlintally.cluster.work.state import OPEN, PAUSED, Machine, Request, Work
 
 ROOM = 0.8  # of what the machines left in a pool bear, beyond which none more is taken out
 
@@ -87,8 +87,3 @@
     if rate > ROOM * left:
         return f"pool {machine.pool} has {rate:.0f} a second, and those left bear {left:.0f}"
     return ""
-
-
-def counted(work: Work) -> tuple[int, int]:
-    """How many are out, and how many of these are on their way back."""
-    return len(work.turns), sum(turn.state == RETURNING for turn in work.turns.values())
--- a/merlintally/lab/schedules/measure.py
+++ b/merlintally/lab/schedules/measure.py
@@ -49,7 +49,6 @@
     out = max(1, size // 10)
     rig.begin((str(out), str(out), str(out)), 0.0)
     world = rig.world
-    killed: list[float] = []
     went_on: list[float] = []
 
     def shoot() -> None:
@@ -57,7 +56,6 @@
         if led and not rig.finished():
             led[0].kill()
             turns, at = rig.verdict.counts.get("turns", 0), world.now
-            killed.append(at)
             world.after(5.0, back, led[0])
             watch(turns, at)
         world.after(20.0, shoot)
--- a/merlintally/lab/schedules/work.py
+++ b/merlintally/lab/schedules/work.py
@@ -164,7 +164,6 @@
         self.number = 0
         self.away: dict[str, float] = {}  # machine -> seconds in all that it was taken out
         self.since: dict[str, float] = {}
-        self.finished_at = 0.0
         self.ready_at: dict[str, float] = {}  # machine -> when its process was up again after work
         self.emptied = False  # whether a disk was lost already
         self.words: set[str] = set()  # what leaders have proposed
@@ -439,7 +438,7 @@
         back(node, False)
     # a pause may have come after its resume, each asked again until it was heard
     rig.ask("resume:last", "resume", "r1", "someone")
-    rig.finished_at = rig.until_finished(200.0)
+    rig.until_finished(200.0)
     rig.verdict.finished = rig.finished()
     if not rig.verdict.finished and not rig.mistakes:
         rig.broken("after all faults had ended not all work was done in time")
