--- a/tests/test_work.py
+++ b/tests/test_work.py
@@ -20,7 +20,8 @@
 
 def test_no_schedule_breaks_what_is_promised() -> None:
     # 3095: what was sent in a right's last moment still ran when it was out. 4214: a voter was let in while
-    # its machine and another were called. 20369: one without its log and its leader told each other no for ever
+    # its machine and another were called. 20369: one without its log and its leader said no to each other for
+    # good
     seeds = (*range(30), 3095, 4214, 20369)
     broken = {seed: verdict.broken for seed in seeds if (verdict := play(seed)).broken}
     assert broken == {}
