A spoilt last record that was on disk stops a node; it was cut off like a torn one

Need: docs/agreement.md named it as not promised: a spoilt last record looks like one that was being written, and what a voter had confirmed went with it.

Change: beside the log a mark says how much of it is on disk, written after each sync and not synced itself. A bad record below it in a file that is as long as the mark is spoilt: exit code 2, one line. A file that is shorter (an older copy, taken while the node ran) is taken as before.

Result: a test with a spoilt last record fails without the mark; the torn one still starts.

--- a/merlintally/cluster/disk.py
+++ b/merlintally/cluster/disk.py
@@ -93,16 +93,23 @@
             os.close(self.lock)
             raise OSError(f"{folder}: another process holds this folder") from None
         try:
+            self.mark = os.open(folder / "synced", os.O_RDWR | os.O_CREAT, 0o644)
             self.blank = not self.path.exists()
             if self.blank:
                 self.kept = Kept()
                 self._begin_anew()
             data = self.path.read_bytes()
             self.kept, self.size = read_log(data, str(self.path))
+            if self.size < self._marked() <= len(data):
+                raise Spoilt(
+                    f"{self.path}: the last record at byte {self.size} was on disk, and is spoilt: set the "
+                    "folder aside and let the node begin anew"
+                )
             self.torn = len(data) - self.size
             self.file = os.open(self.path, os.O_WRONLY)
             os.ftruncate(self.file, self.size)
             os.lseek(self.file, 0, os.SEEK_END)
+            self._mark(self.size)
             self.blank = self.blank or (folder / "blank").exists()
             if self.blank:
                 (folder / "blank").touch()
@@ -111,6 +118,18 @@
             os.close(self.lock)
             raise
 
+    def _mark(self, size: int) -> None:
+        """Note how much of the log is on disk. Guards against a spoilt last record that is taken for one that
+        was being written. Not synced itself: after a power cut it may say less, never more."""
+        body = size.to_bytes(8, "little")
+        with suppress(OSError):
+            os.pwrite(self.mark, body + zlib.crc32(body).to_bytes(4, "little"), 0)
+
+    def _marked(self) -> int:
+        data = os.pread(self.mark, 12, 0)
+        whole = len(data) == 12 and zlib.crc32(data[:8]).to_bytes(4, "little") == data[8:]
+        return int.from_bytes(data[:8], "little") if whole else 0
+
     def _next_start(self) -> int:
         path = self.folder / "start"
         try:
@@ -170,6 +189,7 @@
             self.kept = read_log(self.path.read_bytes(), str(self.path))[0]
             raise Full(f"{self.path}: {wrong.strerror}") from None
         self.size += len(data)
+        self._mark(self.size)
 
     def _rewrite(self) -> None:
         kept = self.kept
@@ -187,7 +207,9 @@
         data = FORM + record_of(("snapshot", kept.snapshot)) + record_of(("vote", kept.term, kept.vote))
         if kept.entries:
             data += record_of(("add", kept.snapshot.upto + 1, kept.entries))
+        self._mark(0)  # of a log that is not there yet nothing is known
         self._replace("agreement.log", data)
+        self._mark(len(data))
 
     def _replace(self, name: str, data: bytes) -> None:
         """The file has the old content or the new one, whatever happens."""
@@ -212,4 +234,5 @@
 
     def close(self) -> None:
         os.close(self.file)
+        os.close(self.mark)
         os.close(self.lock)
--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -178,6 +178,17 @@
     assert read_log((tmp_path / "agreement.log").read_bytes(), "x")[0].entries == [Entry(4, 0, b"new")]
 
 
+def test_a_spoilt_last_record_that_was_on_disk_is_not_taken_for_a_torn_one(tmp_path: Path) -> None:
+    data = disk_with(tmp_path)
+    spoilt = bytearray(data)
+    spoilt[-2] ^= 0x55
+    (tmp_path / "agreement.log").write_bytes(spoilt)
+    with pytest.raises(Spoilt, match="the last record at byte .* was on disk, and is spoilt"):
+        Disk(tmp_path)
+    (tmp_path / "synced").unlink()  # an older program's folder, or a power cut: then nobody knows
+    assert Disk(tmp_path).torn > 0
+
+
 def test_a_spoilt_record_in_the_middle_stops_the_node_and_names_the_place(tmp_path: Path) -> None:
     data = bytearray(disk_with(tmp_path))
     data[len(FORM) + 12] ^= 1
