Copies: sums go back to those who draw, rows are acknowledged, and idle rows are forgotten

Need: the holders of a customer's rows knew the sum and nobody who draws was told; rows lasted for good. Beside it the new check showed a loss that was there before: the row of an owner that is no holder, lost on its way, was never told again, and no comparison among holders can miss it.

Change: a customer's first holder tells each node that draws of it what all others drew, as a whole sum, until it is answered; owners tell rows again until a majority of the other holders has said to hold them, and anew where all holders have gone; rows that nobody changes for forget_s go, with a memory that keeps late copies from bringing them back; rows are found by key and no longer by a walk over the shard.

--- a/merlintally/cluster/copies/spread.py
+++ b/merlintally/cluster/copies/spread.py
@@ -10,10 +10,11 @@
 from typing import Any, NamedTuple
 
 from merlintally.cluster.copies.holders import SHARDS, holders_of, shard_of
-from merlintally.cluster.copies.store import Row, Store
+from merlintally.cluster.copies.store import MOST_FIGURE, USE, Row, Store
 
 FORMS: dict[str, Any] = {  # call -> types of its arguments
     "rows": tuple[list[Row]],  # news of rows
+    "took": tuple[list[tuple[str, str, int, int]]],  # kind, key, start, version: of its owner, held
     "compare": tuple[int, int],  # shard, digest of it
     "buckets": tuple[int, list[int]],  # shard, digests of its buckets: they are not equal
     # shard, bucket, names with versions, whether these are all of the bucket
@@ -22,6 +23,10 @@
     "offer": tuple[int, int, list[tuple[str, str, str, int, int]]],
     "kept": tuple[int, int],  # shard, digest that was offered: all of it is held here
     "fetch": tuple[int, list[tuple[str, str, str, int]]],  # shard, names of rows that are wanted
+    "sums": tuple[list[tuple[str, float]]],  # customer, units that all others drew
+    "summed": tuple[list[tuple[str, float]]],  # the same, heard
+    # rows that nobody has changed for long: names and versions
+    "forgotten": tuple[list[tuple[str, str, str, int, int]]],
     "same": tuple[int, int, bool],  # shard, digest that is equal, whether its sender has caught up with it
 }
 HEAD = 48  # bytes of a row beside its names
@@ -38,12 +43,15 @@
     compare_s: float = 0.1
     chunk: int = 100  # rows or names in one message
     cold_after_s: float = 10.0  # after which one that has not caught up starts cold, and says so
+    forget_s: float = 120.0  # after which a row that has not changed is forgotten
+    again_s: float = 1.0  # after which a sum is told again that nobody has answered
 
 
 @dataclass(slots=True)
 class Results:
     sends: list[tuple[str, str, tuple[Any, ...]]] = field(default_factory=list)  # to, call, arguments
     changed: list[Row] = field(default_factory=list)  # rows of others that are new here
+    sums: list[tuple[str, float]] = field(default_factory=list)  # customer, units that all others drew by now
     events: list[tuple[str, dict[str, Any]]] = field(default_factory=list)
     wake_at: float = 0.0
 
@@ -87,6 +95,19 @@
         self.cold = False
         self.leaving: dict[int, set[str]] = {}  # shards held no more, and who has all of them
         self.counts: Counter[str] = Counter()
+        self.touched: dict[tuple[str, str, str, int], float] = {}  # row -> when it last changed here
+        # rows that were forgotten: when, version, figures. Guards against ones that holders which forget a
+        # little later bring back, and against an owner that begins again with a version of before.
+        self.forgotten: dict[tuple[str, str, str, int], tuple[float, int, tuple[float, ...]]] = {}
+        self.sweep_at = now
+        # own row -> version that is out, since; own row -> holder -> version it has said to hold
+        self.sent: dict[tuple[str, str, str, int], tuple[int, float]] = {}
+        self.taken: dict[tuple[str, str, str, int], dict[str, int]] = {}
+        self.moved: OrderedDict[str, None] = OrderedDict()  # customers whose owners are to hear of the sum
+        self.owed: dict[tuple[str, str], tuple[float, float]] = {}  # node, customer -> sum told, when
+        self.sums: dict[str, float] = {}  # what all others drew, of the customers that this start drew of
+        for row in self.store_rows():
+            self.touched[row.name] = now
         self.out = Results()
 
     # What others ask of it.
@@ -108,6 +129,14 @@
         ):  # what it may have been told of it while others held it is not enough
             self.met[shard].clear()
             self.sure[shard].clear()
+        for kind, key in self.store.keys:  # one that was not told by the former first holder is told by this
+            if kind == USE and self._holders(shard_of(kind, key))[0] == self.name:
+                self.moved[key] = None
+        self.owed = {to: told for to, told in self.owed.items() if to[0] in self.members}
+        for name in self.own:  # guards against rows whose holders have all gone, while their owner is there
+            to = self._others(shard_of(*name[:2]))
+            if to and not set(to) & set(self.taken.get(name, ())):
+                self.unsent.setdefault(name, 1.0)
         if "a shard moves before it is held" in self.mistakes:
             for shard in list(self.leaving):
                 self.store.drop(shard)
@@ -118,11 +147,24 @@
         self.now = now
         name = (kind, key, self.name, self.start)
         had = self.own.get(name)  # not the store's, which forgets shards that are held elsewhere
-        row = self.own[name] = Row(*name, had.version + 1 if had is not None else 1, figures)
+        version = had.version if had is not None else self.forgotten.get(name, (0.0, 0, ()))[1]
+        row = self.own[name] = Row(*name, version + 1, figures)
+        self.touched[name] = now
         if shard_of(kind, key) in self.held:
-            self.store.merge([row], "own")
+            self._moved(self.store.merge([row], "own"))
         self.unsent[row.name] = telling
 
+    def draw(self, now: float, customer: str, units: float) -> None:
+        """This node drew units of a customer."""
+        name = (USE, customer, self.name, self.start)
+        had = self.own.get(name)
+        before = had.figures if had is not None else self.forgotten.get(name, (0.0, 0, (0.0,)))[2]
+        self.put(now, USE, customer, (max(0.0, before[0] + units),), abs(units))
+
+    def store_rows(self) -> list[Row]:
+        """All rows that are here: for the folder."""
+        return [row for shard in self.store.rows for row in self.store.shard(shard)]
+
     def take_results(self) -> Results:
         found, self.out = self.out, Results()
         found.wake_at = min(self.spread_at, self.compare_at)
@@ -135,6 +177,9 @@
         if now >= self.spread_at:
             self.spread_at = now + self.terms.spread_s
             self._spread()
+        if now >= self.sweep_at:
+            self.sweep_at = now + self.terms.forget_s / 10
+            self._forget()
         if now >= self.compare_at:
             self.compare_at = now + self.terms.compare_s
             self._compare()
@@ -159,12 +204,33 @@
             self.holders[shard] = found
         return found
 
+    def _others(self, shard: int) -> list[str]:
+        return [one for one in self._holders(shard) if one != self.name]
+
+    def _unanswered(self) -> None:
+        """Rows that no majority of the other holders has said to hold are told again. Guards against one that
+        was lost on its way from an owner who is no holder: nobody else can miss it. Schedules showed it."""
+        for name, (version, at) in list(self.sent.items()):
+            to, held = self._others(shard_of(*name[:2])), self.taken.get(name, {})
+            if 2 * sum(held.get(one, 0) >= version for one in to) > len(to) or not to:
+                del self.sent[name]
+            elif self.now - at > self.terms.again_s:
+                del self.sent[name]
+                self.unsent.setdefault(name, 1.0)
+
+    def _on_took(self, sender: str, rows: list[tuple[str, str, int, int]]) -> None:
+        for kind, key, start, version in rows:
+            if (name := (kind, key, self.name, start)) in self.own:
+                held = self.taken.setdefault(name, {})
+                held[sender] = max(version, held.get(sender, 0))
+
     def _spread(self) -> None:
         """What is unsent, most telling first, to the holders of its shard, within the budget."""
         batches: dict[str, list[Row]] = {}
+        self._unanswered()
         for name in sorted(self.unsent, key=lambda one: -self.unsent[one]):
             row = self.own.get(name)
-            to = [one for one in self._holders(shard_of(*name[:2])) if one != self.name]
+            to = self._others(shard_of(*name[:2]))
             if row is None:
                 del self.unsent[name]
                 continue
@@ -175,16 +241,120 @@
             for one in to:
                 batches.setdefault(one, []).append(row)
             del self.unsent[name]
+            self.sent[name] = (row.version, self.now)
         for one, rows in batches.items():
             for at in range(0, len(rows), self.terms.chunk):
                 self._send(one, "rows", rows[at : at + self.terms.chunk])
+        self._sum_up()
+
+    # Summed use, back to those who draw.
+
+    def _moved(self, rows: Iterable[Row]) -> None:
+        for row in rows:
+            self.touched[row.name] = self.now
+            if row.kind == USE:
+                self.moved[row.key] = None
+
+    def _sum_up(self) -> None:
+        """The first holder of a customer tells each node that draws of it what all others drew. Sums are
+        whole, and told again until they are answered."""
+        for (_, customer), (_, at) in self.owed.items():
+            if self.now - at > self.terms.again_s:
+                self.moved[customer] = None
+        batches: dict[str, list[tuple[str, float]]] = {}
+        for customer in list(self.moved):
+            if self._holders(shard_of(USE, customer))[0] != self.name:
+                del self.moved[customer]
+                continue
+            rows = self.store.of(USE, customer)
+            starts: dict[str, int] = {}
+            for row in rows:
+                starts[row.node] = max(row.start, starts.get(row.node, 0))
+            to = [node for node in starts if node in self.members and node != self.name]
+            cost = (len(customer) + 16) * len(to)
+            if self.room < cost:
+                self.counts["sums over budget"] += 1
+                break
+            self.room -= cost
+            del self.moved[customer]
+            for node, start in sorted(starts.items()):
+                own = "a sum counts one's own draws" in self.mistakes
+                told = sum(one.figures[0] for one in rows if own or (one.node, one.start) != (node, start))
+                if node == self.name:
+                    self._take_sum(customer, told)
+                elif node in to:
+                    batches.setdefault(node, []).append((customer, told))
+                    self.owed[node, customer] = (told, self.now)
+        for node, sums in batches.items():
+            for at in range(0, len(sums), self.terms.chunk):
+                self._send(node, "sums", sums[at : at + self.terms.chunk])
+
+    def _on_sums(self, sender: str, sums: list[tuple[str, float]]) -> None:
+        """What others drew of this node's customers: it only rises, whatever arrives late."""
+        if any(not 0 <= units <= MOST_FIGURE for _, units in sums):
+            self.store.refused += 1
+            self.out.events.append(("refused", {"whose": sender}))
+            return
+        for customer, units in sums:
+            self._take_sum(customer, units)
+        self._send(sender, "summed", sums)
+
+    def _take_sum(self, customer: str, units: float) -> None:
+        if (USE, customer, self.name, self.start) in self.own and units > self.sums.get(customer, 0.0):
+            self.sums[customer] = units
+            self.out.sums.append((customer, units))
+
+    def _on_summed(self, sender: str, sums: list[tuple[str, float]]) -> None:
+        for customer, units in sums:
+            if self.owed.get((sender, customer), (None, 0.0))[0] == units:
+                del self.owed[sender, customer]
+
+    def _forget(self) -> None:
+        """Rows that nobody has changed for long: customers seen once, dead starts."""
+        least = self.now - self.terms.forget_s
+        for name, at in list(self.touched.items()):
+            if at < least:
+                self._drop(name)
+        for name, (at, _, _) in list(self.forgotten.items()):
+            # an owner remembers for longer than all others
+            if at < self.now - self.terms.forget_s * (4 if name[2:] == (self.name, self.start) else 2):
+                del self.forgotten[name]
+
+    def _drop(self, name: tuple[str, str, str, int]) -> None:
+        self.touched.pop(name, None)
+        row = self.own.pop(name, None) or self.store.get(*name)
+        if row is not None:
+            self.forgotten[name] = (self.now, row.version, row.figures)
+            self.store.forget(name)
+        for table in (self.unsent, self.sent, self.taken):
+            table.pop(name, None)
+        self.owed = {to: told for to, told in self.owed.items() if to[1] != name[1]} if self.owed else {}
+        if name[2:] == (self.name, self.start):
+            self.sums.pop(name[1], None)
+
+    def _on_forgotten(self, sender: str, names: list[tuple[str, str, str, int, int]]) -> None:
+        """Others have forgotten rows that are here still. Guards against one that returns with its folder and
+        is never equal to those who forgot meanwhile. A row of this start is its own to forget."""
+        for kind, key, node, start, version in names:
+            name = (kind, key, node, start)
+            row = self.store.get(*name)
+            if row is not None and row.version <= version and (node, start) != (self.name, self.start):
+                self._drop(name)
 
     def _on_rows(self, sender: str, rows: list[Row]) -> None:
         own = [row for row in rows if (row.node, row.start) == (self.name, self.start)]
         refused = self.store.refused
-        taken = self.store.merge([row for row in rows if row not in own], sender)
+        known = self.forgotten if "a forgotten row comes back" not in self.mistakes else {}
+        late = [row for row in rows if row not in own and row.version <= known.get(row.name, (0.0, 0, ()))[1]]
+        taken = self.store.merge([row for row in rows if row not in own and row not in late], sender)
+        self._moved(taken)
+        if late:
+            self._send(sender, "forgotten", [(*row.name, row.version) for row in late])
         for row in own:
             self._claimed(row, sender)
+        told = [(one.kind, one.key, one.start, one.version) for one in rows if one.node == sender]
+        if told and self.store.refused == refused:
+            self._send(sender, "took", told)
         if self.store.refused > refused:
             self.out.events.append(("refused", {"whose": sender}))
         self.out.changed += taken
@@ -207,6 +377,7 @@
         ):
             self.store.quarantine = [*self.store.quarantine, (sender, row)][-1000:]
             self.own[row.name] = again = mine._replace(version=row.version + 1)
+            self.touched[row.name] = self.now
             self.store.merge([again], "own")
             self.unsent[row.name] = 1.0
             self.out.events.append(("put right", {"key": row.key, "whose": sender}))
@@ -242,7 +413,8 @@
         wanted = []
         for kind, key, node, start, version in names:
             row = self.store.get(kind, key, node, start)
-            if row is None or row.version < version:
+            known = self.forgotten.get((kind, key, node, start), (0.0, 0, ()))[1]
+            if (row is None or row.version < version) and version > known:
                 wanted.append((kind, key, node, start))
         if wanted:
             self._send(sender, "fetch", shard, wanted)
@@ -262,7 +434,7 @@
             del self.leaving[shard]
 
     def _ask(self, shard: int) -> None:
-        others = [one for one in self._holders(shard) if one != self.name]
+        others = self._others(shard)
         if others:
             self._send(self.random.choice(others), "compare", shard, self.store.digest(shard))
 
@@ -295,10 +467,12 @@
     ) -> None:
         """Fetch what is newer there, tell what is newer here: what differs goes over, and no more."""
         theirs = {(kind, key, node, start): version for kind, key, node, start, version in names}
-        wanted, newer, same = [], [], []
+        wanted, newer, same, late = [], [], [], []
         for name, version in theirs.items():
             row = self.store.get(*name)
-            if row is None or row.version < version:
+            if row is None and version <= self.forgotten.get(name, (0.0, 0, ()))[1]:
+                late.append((*name, version))
+            elif row is None or row.version < version:
                 wanted.append(name)
             elif row.version > version:
                 newer.append(row)
@@ -308,7 +482,9 @@
             newer += [
                 row for row in self.store.shard(shard) if row.bucket == bucket and row.name not in theirs
             ]
-        if not wanted and not newer:
+        if late:
+            self._send(sender, "forgotten", late)
+        elif not wanted and not newer:
             wanted = same  # the same names and versions, and another digest: copies that differ
         if wanted:
             self._send(sender, "fetch", shard, wanted)
--- a/merlintally/cluster/copies/store.py
+++ b/merlintally/cluster/copies/store.py
@@ -30,6 +30,8 @@
     "caught up at the first answer",
     "a shard moves before it is held",
     "a row without a check",
+    "a sum counts one's own draws",
+    "a forgotten row comes back",
 )
 
 
@@ -76,6 +78,8 @@
 
     def __init__(self, mistakes: frozenset[str] = frozenset()) -> None:
         self.rows: dict[int, dict[tuple[str, str, str, int], Row]] = {}
+        # the same rows by kind and key
+        self.keys: dict[tuple[str, str], dict[tuple[str, str, str, int], Row]] = {}
         self.digests: dict[int, list[int]] = {}  # by shard and bucket of it
         self.quarantine: list[tuple[str, Row]] = []
         self.suspect: set[int] = set()  # shards in which copies differed
@@ -122,10 +126,26 @@
         buckets = self.digests.setdefault(shard, [0] * BUCKETS)
         buckets[row.bucket] ^= row.digest() ^ (had.digest() if had is not None else 0)
         held[row.name] = row
+        self.keys.setdefault((row.kind, row.key), {})[row.name] = row
+
+    def forget(self, name: tuple[str, str, str, int]) -> None:
+        """Drop one row."""
+        shard = shard_of(*name[:2])
+        row = self.rows.get(shard, {}).pop(name, None)
+        if row is not None:
+            self.digests[shard][row.bucket] ^= row.digest()
+            self._unkey(row)
+
+    def _unkey(self, row: Row) -> None:
+        rows = self.keys[row.kind, row.key]
+        del rows[row.name]
+        if not rows:
+            del self.keys[row.kind, row.key]
 
     def drop(self, shard: int) -> None:
         """Forget a shard: it is held elsewhere now, or is fetched anew."""
-        self.rows.pop(shard, None)
+        for row in self.rows.pop(shard, {}).values():
+            self._unkey(row)
         self.digests.pop(shard, None)
         self.suspect.discard(shard)
 
@@ -143,7 +163,7 @@
 
     def of(self, kind: str, key: str) -> list[Row]:
         """All owners' rows of one key."""
-        return [row for row in self.shard(shard_of(kind, key)) if row.kind == kind and row.key == key]
+        return list(self.keys.get((kind, key), {}).values())
 
     def used(self, customer: str) -> float:
         """Units that all nodes and starts together drew, of one customer and epoch."""
