Nodes run copies of state: draws go out as rows, sums come back to the decisions as notes

What a killed node knew of use was gone, and each node heard of others by the counter and by notes of its own protocol alone.

Change: copies are a part of the cluster's node (calls c.*, off with copies = 0, the default). Whatever the decisions tell in notes is drawn in this node's rows; what others drew comes back as one note, and the decisions count as hearing all only while every member is well, this node has caught up and the holders of its rows answer. choice.py is untouched; the keeper knows whoever brings notes by a Protocol.

--- a/merlintally/cli/front.py
+++ b/merlintally/cli/front.py
@@ -26,6 +26,7 @@
     "check": ("merlintally.cli.checking:check", "Check a configuration, operators' file, day or profile."),
     "load": ("merlintally.cli.loading:load", "Send open-loop load to a node and report latencies."),
     "cluster": ("merlintally.cli.cluster:cluster", "Found a cluster, look at it, change who votes."),
+    "copies": ("merlintally.cli.copying:copies", "State that matters, in copies among the nodes."),
     "work": ("merlintally.cli.working:work", "Take machines out for work, in an order the nodes settle."),
     "lab": ("merlintally.cli.lab:lab", "Play days in the laboratory: emulator, referee, reports."),
     "completion": ("merlintally.cli.checking:completion", "Print the shell's completion script."),
--- a/merlintally/cluster/bounds.py
+++ b/merlintally/cluster/bounds.py
@@ -5,6 +5,8 @@
 
 from typing import NamedTuple
 
+from merlintally.cluster.copies import Terms as CopyTerms
+from merlintally.cluster.copies.holders import SHARDS
 from merlintally.cluster.work.coordinator import Terms
 from merlintally.operators import ClusterPart
 
@@ -28,7 +30,17 @@
     # the old one is missed, one vote may be split, then a vote ahead and a vote
     elected = 2 * 2 * part.election_s * (1 + part.drift_share) + part.election_s + 4 * SENT_S + 0.16
     elected = round(elected, 1)
-    return [
+    copies = CopyTerms()
+    equal = (part.copies - 1) * SHARDS * copies.compare_s + 6 * SENT_S if part.copies > 1 else 0.0
+    compared = [
+        Stated(
+            "copies equal",
+            equal,
+            f"{SHARDS} shards, one each {copies.compare_s:g} s, with each of {part.copies - 1} other "
+            f"holders, and 6 messages of {SENT_S:g}; while all holders are well and the byte budget suffices",
+        )
+    ]
+    return (compared if equal else []) + [
         Stated(
             "new leader",
             elected,
--- a/merlintally/cluster/copies/spread.py
+++ b/merlintally/cluster/copies/spread.py
@@ -99,7 +99,7 @@
         # rows that were forgotten: when, version, figures. Guards against ones that holders which forget a
         # little later bring back, and against an owner that begins again with a version of before.
         self.forgotten: dict[tuple[str, str, str, int], tuple[float, int, tuple[float, ...]]] = {}
-        self.sweep_at = now
+        self.sweep_at, self.turn = now, 0
         # own row -> version that is out, since; own row -> holder -> version it has said to hold
         self.sent: dict[tuple[str, str, str, int], tuple[int, float]] = {}
         self.taken: dict[tuple[str, str, str, int], dict[str, int]] = {}
@@ -191,9 +191,9 @@
         self.now = now
         getattr(self, f"_on_{call}")(sender, *args)
 
-    def age(self) -> int:
-        """Rows of its own that no holder has been sent yet."""
-        return len(self.unsent)
+    def unheard(self, now: float) -> bool:
+        """Whether a row of its own is out for long, with no majority of the other holders to answer."""
+        return any(now - at > self.terms.again_s / 2 for _, at in self.sent.values())
 
     # Spread.
 
@@ -402,8 +402,10 @@
         if wanted:
             for shard in self.random.sample(wanted, min(8, len(wanted))):
                 self._ask(shard)
-        elif self.held:
-            self._ask(self.random.choice(sorted(self.held)))
+        elif self.held:  # one after another, with each other holder in turn: then the time is bounded
+            self.turn += 1
+            held = sorted(self.held)
+            self._ask(held[self.turn % len(held)], self.turn // len(held))
         if self.leaving:
             self._ask(self.random.choice(sorted(self.leaving)))
 
@@ -433,10 +435,11 @@
             self.store.drop(shard)
             del self.leaving[shard]
 
-    def _ask(self, shard: int) -> None:
+    def _ask(self, shard: int, turn: int | None = None) -> None:
         others = self._others(shard)
         if others:
-            self._send(self.random.choice(others), "compare", shard, self.store.digest(shard))
+            to = self.random.choice(others) if turn is None else others[turn % len(others)]
+            self._send(to, "compare", shard, self.store.digest(shard))
 
     def _on_compare(self, sender: str, shard: int, digest: int) -> None:
         if digest == self.store.digest(shard):
--- a/merlintally/cluster/core.py
+++ b/merlintally/cluster/core.py
@@ -1,21 +1,23 @@
-"""One node of a cluster, without input or output: agreement, members and the order of work put together.
+"""One node of a cluster, without input or output: agreement, members, the order of work and copies together.
 
 Events in (`hear`, `wake`, `synced`, `ask`), results out (`take_results`), as with each of its parts. Messages
-bear the part's letter before the call's name: `r.` agreement, `m.` members, `w.` work.
+bear the part's letter before the call's name: `r.` agreement, `m.` members, `w.` work, `c.` copies.
 """
 
 from __future__ import annotations
 
 import json
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from random import Random
 from typing import Any, NamedTuple
 
 import msgspec
 
-from merlintally.cluster import agreement, members
+from merlintally.cluster import agreement, copies, members
 from merlintally.cluster.agreement import Config, Entry, Kept, Pace, Raft
 from merlintally.cluster.agreement.log import CONFIG, DATA, config_of
+from merlintally.cluster.copies import Copies, Row
 from merlintally.cluster.members import Members, Rhythm
 from merlintally.cluster.members.core import DEAD, LEFT, START, STATES
 from merlintally.cluster.work.coordinator import Coordinator, Report, Terms, lost
@@ -26,6 +28,7 @@
 FORMS: dict[str, Any] = {
     **{f"r.{call}": form for call, form in agreement.FORMS.items()},
     **{f"m.{call}": form for call, form in members.FORMS.items()},
+    **{f"c.{call}": form for call, form in copies.FORMS.items()},
     "w.renew": tuple[float, Report, bool],  # when it was asked, what the node tells, whether it is blank
     "w.right": tuple[
         float, int, bytes, list[tuple[int, Entry]]
@@ -35,7 +38,7 @@
     "w.ask": tuple[str, str, list[Any]],  # id, verb, arguments
     "w.answer": tuple[str, bool, str],  # id, whether, text
 }
-STREAMED = ("r.", "w.", "m.state")  # over a stream; all else is a datagram
+STREAMED = ("r.", "w.", "c.", "m.state")  # over a stream; all else is a datagram
 COMPACT_AFTER, MOST_ENTRIES, MOST_WAITING = 500, 200, 1024
 STEP_S = 0.1
 
@@ -56,6 +59,7 @@
     pace: Pace = Pace()
     rhythm: Rhythm = Rhythm()
     terms: Terms = Terms()
+    copies: copies.Terms | None = None  # None: no state is copied
 
 
 @dataclass(slots=True)
@@ -77,6 +81,7 @@
     answers: list[tuple[str, bool, str]] = field(default_factory=list)  # to callers of `ask` here
     events: list[tuple[str, dict[str, Any]]] = field(default_factory=list)  # for the record and the log
     changed: bool = False  # what is agreed about machines has changed
+    sums: list[tuple[str, float]] = field(default_factory=list)  # customer, units that others drew by now
     wake_at: float = 0.0
 
 
@@ -92,7 +97,9 @@
         now: float,
         blank: bool = False,
         mistakes: frozenset[str] = frozenset(),
+        rows: Iterable[Row] = (),
     ) -> None:
+        """`rows`: copies that its folder has, a head start and no authority."""
         self.me, self.plan, self.random, self.now, self.mistakes = me, plan, random, now, mistakes
         self.raft = Raft(
             me.name, kept, Config(plan.voters), plan.pace, Random(random.random()), now, blank, mistakes
@@ -104,6 +111,11 @@
         self.work.index = max(self.work.index, kept.snapshot.upto)
         self.work.voters = self.work.voters or plan.voters
         self.edge = Edge(me.name, me.start, self.work, mistakes)
+        self.copies: Copies | None = None
+        if plan.copies is not None:
+            chance = Random(random.random())
+            self.copies = Copies(me.name, me.start, plan.copies, chance, now, rows, mistakes)
+            self._follow_copies()
         self.local = Local()
         self.coordinator: Coordinator | None = None
         self.led_term = 0
@@ -150,6 +162,9 @@
         elif verb == "machines?":
             self._answer(id_, asker, True, msgspec.json.encode(list(self.work.machines.values())).decode())
             return
+        elif verb == "copies?":
+            self._answer(id_, asker, True, json.dumps(self.copied(str(args[0]) if args else "status")))
+            return
         elif verb == "starts?":
             one = self.members.known.get(str(args[0]))
             self._answer(id_, asker, True, str(one.incarnation // START if one is not None else 0))
@@ -224,6 +239,45 @@
             "history": work.history[-20:],
         }
 
+    def copied(self, what: str) -> dict[str, Any]:
+        """What this node holds of state in copies: `status`, `digests` by shard, `quarantine` or `rows`."""
+        one = self.copies
+        if one is None:
+            return {"node": self.me.name, "on": False}
+        found: dict[str, Any] = {"node": self.me.name, "on": True, "start": self.me.start}
+        if what == "digests":
+            found["digests"] = {shard: f"{one.store.digest(shard):016x}" for shard in sorted(one.held)}
+        elif what == "quarantine":
+            found["quarantine"] = [[origin, *row] for origin, row in one.store.quarantine]
+        elif what == "rows":
+            found["rows"] = one.store_rows()
+        else:
+            found |= {
+                "caught_up": one.caught_up,
+                "cold": one.cold,
+                "rows": len(one.store),
+                "shards": len(one.held),
+                "unsent": len(one.unsent),
+                "unanswered": len(one.sent),
+                "leaving": len(one.leaving),
+                "quarantined": len(one.store.quarantine),
+                "refused": one.store.refused,
+                "members": one.members,
+            }
+        return found
+
+    def hears_all(self, now: float) -> bool:
+        """Whether what others draw is known here soon: all members are well, this node has caught up, and
+        the holders of its own rows answer."""
+        one = self.copies
+        well = all(member.state in (0, LEFT) for member in self.members.known.values())
+        return one is not None and one.caught_up and well and not one.unheard(now)
+
+    def _follow_copies(self) -> None:
+        assert self.copies is not None
+        zones = {edge: row.zone for row in self.work.machines.values() for edge in row.edges}
+        self.copies.follow(self.now, self.members.alive(), zones)
+
     def take_results(self) -> Results:
         found = self.out
         raft = self.raft.take_results()
@@ -254,11 +308,22 @@
             and self.work.index == self.raft.applied
         ):
             self.raft.compact(self.now, self.work.encode())
+        if self.copies is not None:
+            if told.changed or self.changed:
+                self._follow_copies()
+            copied = self.copies.take_results()
+            found.sends += [(to, f"c.{call}", args) for to, call, args in copied.sends]
+            found.events += [(f"copies {event}", fields) for event, fields in copied.events]
+            found.sums = copied.sums
+            wake_copies = copied.wake_at
+        else:
+            wake_copies = told.wake_at
         found.events += self.events
         found.changed, self.events, self.changed = self.changed, [], False
         found.wake_at = min(
             raft.wake_at,
             told.wake_at,
+            wake_copies,
             self.renew_at,
             self.step_at if self.raft.role == "leader" else raft.wake_at,
         )
@@ -274,6 +339,9 @@
             self.raft.hear(now, sender, name, args)
         elif part == "m":
             self.members.hear(now, sender, name, args)
+        elif part == "c":
+            if self.copies is not None:
+                self.copies.hear(now, sender, name, args)
         else:
             getattr(self, f"_on_{name}")(sender, *args)
 
@@ -286,6 +354,8 @@
         self.now = now
         self.raft.wake(now)
         self.members.wake(now)
+        if self.copies is not None:
+            self.copies.wake(now)
         if now >= self.renew_at:
             self._renew()
         if self.raft.role == "leader" and now >= self.step_at:
--- a/merlintally/cluster/disk.py
+++ b/merlintally/cluster/disk.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from merlintally.cluster.agreement import Entry, Kept, Snapshot
+from merlintally.cluster.copies import Row
 
 FORM = b"merlintally log 1\n"
 HEAD = 8  # bytes before a record: its length and checksum
@@ -150,6 +151,22 @@
             (self.folder / "blank").unlink(missing_ok=True)
             self._sync_folder()
 
+    def keep(self, rows: list[Row]) -> None:
+        """Keep copies of others' state: a head start for the next time, which may be old or missing."""
+        body = msgspec.msgpack.encode(rows)
+        self._replace("copies", zlib.crc32(body).to_bytes(4, "little") + body)
+
+    def kept_rows(self) -> list[Row]:
+        """What `keep` was given last; nothing where it can't be read."""
+        path = self.folder / "copies"
+        data = path.read_bytes() if path.exists() else b""
+        if zlib.crc32(data[4:]).to_bytes(4, "little") != data[:4]:
+            return []
+        try:
+            return msgspec.msgpack.decode(data[4:], type=list[Row])
+        except msgspec.MsgspecError:
+            return []
+
     def set_aside(self) -> None:
         """Begin anew: fellows know of later starts than this folder does. The old log stays beside it."""
         os.close(self.file)
--- a/merlintally/cluster/members/core.py
+++ b/merlintally/cluster/members/core.py
@@ -124,6 +124,7 @@
         self.exchange_at = now + random.random()
         self.gossip_at = now
         self.again_at = now + rhythm.again_s
+        self.suspects: set[str] = set()  # who is suspected now: looked at with each message
         self.results = Results()
         self._tell(name)
 
@@ -158,7 +159,7 @@
             due.append(self.answer_at)
         if self.queue:
             due.append(self.gossip_at)
-        due += [one.until for one in self.known.values() if one.state == SUSPECT]
+        due += [self.known[name].until for name in self.suspects]
         due += [until for _, _, until, nacked in self.relays.values() if not nacked]
         found.wake_at = min(due)
         return found
@@ -171,6 +172,7 @@
                 self._news((one.name, DEAD, one.incarnation, one.address, ""))
             elif one.state >= DEAD and now - one.since > self.rhythm.forget_s:
                 del self.known[one.name]
+                self.suspects.discard(one.name)
                 self.queue.pop(one.name, None)
         for number, (asker, its, until, nacked) in list(self.relays.items()):
             if now >= until + self.rhythm.period_s:
@@ -331,6 +333,7 @@
         self._tell(name)
 
     def _changed(self, one: Member) -> None:
+        (self.suspects.add if one.state == SUSPECT else self.suspects.discard)(one.name)
         self.results.changed.append((one.name, one.state))
         self._tell(one.name)
 
--- a/merlintally/cluster/node.py
+++ b/merlintally/cluster/node.py
@@ -6,8 +6,9 @@
 import time
 import traceback
 import zlib
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Callable
+from contextlib import suppress
 from pathlib import Path
 from random import Random
 from threading import Lock
@@ -16,6 +17,7 @@
 import anyio
 
 from merlintally.cluster.agreement import Pace
+from merlintally.cluster.copies import Terms as CopyTerms
 from merlintally.cluster.core import STREAMED, Cluster, Local, Me, Plan
 from merlintally.cluster.disk import Disk, Full
 from merlintally.cluster.links import Links
@@ -29,9 +31,13 @@
 from merlintally.net.node import EdgeNode
 from merlintally.net.phases import Phase
 from merlintally.net.post import Post
+from merlintally.notes import told, unpack
 from merlintally.operators import ClusterPart
 
 QUEUE, AGAIN_S, RATE_S, CLIENT_S = 4096, 1.0, 2.0, 10.0
+KEEP_S, HEARD_S = 5.0, 0.4  # between copies on disk; between words to the decisions that all is heard
+MOST_NOTES = 1024  # that wait
+FELLOWS = -1  # as whom the decisions hear all other nodes together
 
 
 def plan_of(part: ClusterPart) -> Plan:
@@ -42,9 +48,23 @@
         Pace(heartbeat_s=part.heartbeat_s, election_s=part.election_s),
         Rhythm(period_s=part.period_s, answer_s=0.3 * part.period_s),
         Terms(part.lease_s, part.renew_s, part.drift_share, part.warm_s, part.longest_s),
+        CopyTerms(
+            part.copies, part.copy_bytes_s, cold_after_s=part.copy_cold_s, forget_s=part.copy_forget_s
+        )
+        if part.copies
+        else None,
     )
 
 
+class Sum:
+    """What others drew of a customer and the decisions were not told yet, as notes have it."""
+
+    __slots__ = ("mark", "drawn", "heard")
+
+    def __init__(self, mark: int, heard: float) -> None:
+        self.mark, self.drawn, self.heard = mark, 0.0, heard
+
+
 class ClusterNode:
     """Attached to an edge node with `EdgeNode(..., parts=[ClusterNode(...).run])`; it is the node's Right."""
 
@@ -69,12 +89,18 @@
         self.out: dict[str, int] = {}  # machines that this node holds to be out -> turn
         self.done: set[int] = set()
         self.able, self.careful = True, True
-        self.to_tell = anyio.Event()  # what is out has changed
+        self.to_tell = anyio.Event()  # what is out has changed, or what others drew
+        self.notes: deque[bytes] = deque(maxlen=MOST_NOTES)  # of the decisions, about draws of this node
+        self.sums: dict[str, Sum] = {}
+        self.heard_at = 0.0  # when the decisions were last told that all is heard
+        self.whole = False
         self._begin(time.monotonic())
 
     def _begin(self, now: float) -> None:
         me = Me(self.name, self.part.listen, self.disk.start)
-        self.core = Cluster(me, self.plan, self.disk.kept, Random(self.chance.random()), now, self.disk.blank)
+        rows = self.disk.kept_rows() if self.plan.copies is not None else []
+        chance = Random(self.chance.random())
+        self.core = Cluster(me, self.plan, self.disk.kept, chance, now, self.disk.blank, rows=rows)
         self.number = 0
 
     # The node's right, looked up at each use.
@@ -93,6 +119,8 @@
     async def run(self, node: EdgeNode, keeper: Keeper) -> None:
         """Stand beside a node until cancelled."""
         self.keeper, keeper.right = keeper, self
+        if self.plan.copies is not None and keeper.peers is None:
+            keeper.peers = self
         keeper.shown = {entry.facts.server: entry for entry in node.deployment.known}
         listen = address(self.part.listen, "cluster.listen")
         self.links = Links(
@@ -126,6 +154,8 @@
             group.start_soon(self._wake)
             group.start_soon(self._leave, node)
             group.start_soon(self._tell_keeper)
+            if self.plan.copies is not None:
+                group.start_soon(self._keep_copies)
             await self.queue.post(lambda: None)
             await self.queue.run(self._do, self._settle)
 
@@ -166,6 +196,7 @@
                 server for server in servers if server not in shown or shown[server].facts.presence != "on"
             )
         )
+        self._drawn(now)
         self.core.local = Local(busy, not self.keeper.taken, off, self.rates)
         self.core.wake(now)
         careful = now >= self.core.edge.until + self.part.lease_s
@@ -182,6 +213,50 @@
             await self.to_tell.wait()
             self.to_tell = anyio.Event()
             await self.keeper.post(self.keeper.take_out, self.core.edge.out())
+            while self.whole and (note := told(self.sums.values())):
+                await self.keeper.post(self.keeper.noted, FELLOWS, note)
+            if self.whole:
+                await self.keeper.post(self.keeper.noted, FELLOWS, b"")
+
+    # Draws: to the copies, and what others drew to the decisions, as notes.
+
+    def tell(self, payload: bytes) -> None:
+        """A note of the decisions, which would go to all others: what this node drew."""
+        self.notes.append(payload)
+
+    def _drawn(self, now: float) -> None:
+        copies = self.core.copies
+        if copies is None:
+            return
+        while self.notes:
+            for mark, units in unpack(self.notes.popleft()):
+                copies.draw(now, f"{mark:08x}", units)
+        self.whole = self.core.hears_all(now)
+        if self.whole and now - self.heard_at > HEARD_S:
+            self.heard_at = now
+            self.to_tell.set()
+
+    def _summed(self, sums: list[tuple[str, float]]) -> None:
+        """The first sum of a customer is where it stands; only what is drawn from then on is news. Guards
+        against draws of a minute ago, long refilled, that empty a store."""
+        for customer, units in sums:
+            one = self.sums.get(customer)
+            if one is None:
+                self.sums[customer] = Sum(int(customer, 16), units)
+            else:
+                one.drawn, one.heard = one.drawn + units - one.heard, units
+        if self.core.copies is not None and len(self.sums) > 2 * len(self.core.copies.sums) + 64:
+            self.sums = {key: one for key, one in self.sums.items() if key in self.core.copies.sums}
+        self.to_tell.set()
+
+    async def _keep_copies(self) -> None:
+        """A head start for the next time, now and then."""
+        while True:
+            await anyio.sleep(KEEP_S)
+            copies = self.core.copies
+            if copies is not None and self.able:
+                with suppress(OSError):
+                    await anyio.to_thread.run_sync(self.disk.keep, copies.store_rows())
 
     async def _write(self) -> None:
         """Rows go to disk in batches, in a thread; what is promised waits for it."""
@@ -238,6 +313,8 @@
             self._tell(event, fields)
         if found.changed:
             self._changed()
+        if found.sums:
+            self._summed(found.sums)
         if self.disk.blank and not self.core.raft.blank:
             self.disk.admitted()
         if found.wake_at < self.wake_at or self.wake_at <= time.monotonic():
--- a/merlintally/cluster/work/state.py
+++ b/merlintally/cluster/work/state.py
@@ -272,13 +272,14 @@
             raise Refused(f"{id_}: there is a request of that name")
         if not machines:
             raise Refused("no machine is named")
+        sizes = self.sizes()
         for name in machines:
             if name not in self.machines:
                 raise Refused(f"{name}: there is no such machine")
             for other in self.requests.values():
                 if other.state in (OPEN, PAUSED) and name in other.machines and name not in other.done:
                     raise Refused(f"{name}: request {other.id} of {other.by} asks for work on it already")
-            if why := self._never(self.machines[name], limits):
+            if why := self._never(self.machines[name], limits, sizes):
                 raise Refused(f"{name}: the budget can never be met: {why}")
         if len(set(machines)) < len(machines):
             raise Refused("a machine is named twice")
@@ -288,8 +289,7 @@
             del self.requests[old]
         return f"{id_}: {by} asks for work on {len(machines)} machines: {reason}"
 
-    def _never(self, machine: Machine, budget: Budget) -> str:
-        sizes = self.sizes()
+    def _never(self, machine: Machine, budget: Budget, sizes: Counter[tuple[str, str]]) -> str:
         for what, limit, size in (
             ("total", budget.total, sizes["all", ""]),
             ("pool", budget.pool, sizes["pool", machine.pool]),
--- a/merlintally/lab/faults/play.py
+++ b/merlintally/lab/faults/play.py
@@ -27,6 +27,7 @@
 from merlintally.lab.faults.check import check, rows_of
 from merlintally.lab.faults.links import KINDS, Net, state_of
 from merlintally.lab.faults.scenario import FaultForm, Scenario
+from merlintally.lab.figures import figures
 from merlintally.lab.front import Try
 from merlintally.lab.live.play import Live
 from merlintally.lab.live.processes import RealNode, lines_of
@@ -37,6 +38,7 @@
 from merlintally.lab.servers import Server
 
 SECRET, LEADER_S = "of the laboratory", 60.0
+FORWARDED = ("heartbeat_s", "election_s", "period_s", "lease_s", "renew_s", "drift_share", "copies")
 
 
 class Book:
@@ -109,6 +111,9 @@
         found = super().configuration()
         for party in ("counter", "discovery"):
             found[party] = f"{HOST}:{self.live.doors[self.name, party]}"
+        if self.live.scenario.cluster is not None and self.live.scenario.cluster.copies:
+            for key in ("peer_listen", "peers", "peers_all"):  # use is told by copies and not by notes
+                found.pop(key)
         return found
 
     def operators(self) -> Path:
@@ -133,7 +138,7 @@
             ]
             rows += [
                 f"{key} = {getattr(form, key)}"
-                for key in ("heartbeat_s", "election_s", "period_s", "lease_s", "renew_s", "drift_share")
+                for key in FORWARDED
             ]
             warm = live.scenario.work.warm_s if live.scenario.work is not None else 0.5
             longest = max(one.hard_limit_s for one in live.world.day.lane)
@@ -187,6 +192,8 @@
         self.leaderless: list[float] = []
         self.unfinished: list[str] = []
         self.begun = 0.0
+        self.copied_rows = 0  # the most that one node held when copies were the same
+        self.equal_s: float | None = None  # from the end of load and faults until all copies are the same
 
     def node(self, number: int) -> RealNode:
         return FaultNode(self, number)
@@ -221,7 +228,48 @@
             self.spawn(self._cause(fault))
         if self.scenario.work is not None:
             self.spawn(self._people())
+        if self.copying:
+            self.spawn(self._compare())
 
+    @property
+    def copying(self) -> bool:
+        return self.scenario.cluster is not None and self.scenario.cluster.copies > 0
+
+    async def _compare(self) -> None:
+        """Once load, work and faults have ended: until all nodes that hold a shard have the same copy of
+        it."""
+        await asyncio.sleep(self.scenario.seconds)
+        while self._people_busy:
+            await asyncio.sleep(0.1)
+        began = time.monotonic()
+        while time.monotonic() < began + LEADER_S:
+            told = [await self._digests(node) for node in self.fault_nodes]
+            held: dict[str, set[str]] = {}
+            for one in told:
+                for shard, digest in (one or {}).items():
+                    held.setdefault(shard, set()).add(digest)
+            if all(one is not None for one in told) and all(len(one) == 1 for one in held.values()):
+                self.equal_s = time.monotonic() - began
+                return
+            await asyncio.sleep(0.2)
+        self.equal_s = time.monotonic() - began
+        self.unfinished.append("copies still differ")
+
+    async def _digests(self, node: FaultNode) -> dict[str, str] | None:
+        """Of one that has caught up; None of one that has not."""
+        from merlintally.cluster.links import ask as ask_one
+
+        found: dict[str, Any] = {}
+        try:
+            for what in ("status", "digests"):
+                _, text = await ask_one(
+                    (HOST, node.cluster_port), "lab", SECRET, secrets.token_hex(4), "copies?", [what], 2.0
+                )
+                found |= json.loads(text)
+        except Exception:  # it is not there, or not yet
+            return None
+        self.copied_rows = max(self.copied_rows, found["rows"])
+        return found["digests"] if found["caught_up"] else None
     # Faults.
 
     async def _cause(self, fault: FaultForm) -> None:
@@ -491,7 +539,11 @@
 
     @property
     def busy(self) -> bool:
-        """Whether people or faults have still something to do."""
+        """Whether people, faults or those who compare copies have still something to do."""
+        return self._people_busy or (self.copying and self.equal_s is None)
+
+    @property
+    def _people_busy(self) -> bool:
         return any(one.touched or one.held for one in self.fault_nodes) or (
             self.scenario.work is not None and not self.rounds_done and not self.unfinished
         )
@@ -533,6 +585,8 @@
         "faults": dict(live.caused),
         "work": {"rounds": live.rounds_done, "turns": live.turns},
         "notices": live.world.notices[:10],
+        "copies": {"rows": live.copied_rows} if live.copying else {},
+        "figures": {key: round(value, 6) for key, value in figures(live.world.referee).items()},
         "worst": worst_of(live, rows_of(live.records)),
         "log": list(lines_of(folder, 2)),
     }
@@ -552,6 +606,8 @@
     part = ClusterPart(**{key: value for key, value in msgspec.to_builtins(form).items() if key != "voters"})
     stated = {row.name: row.stated_s for row in bounds_of(part)}
     found = {}
+    if live.equal_s is not None:
+        found["copies equal"] = [round(live.equal_s, 3), round(stated["copies equal"], 3)]
     if live.leaderless:
         found["new leader"] = [round(max(live.leaderless), 3), round(stated["new leader"], 3)]
     return found
--- a/merlintally/lab/faults/scenario.py
+++ b/merlintally/lab/faults/scenario.py
@@ -71,6 +71,7 @@
     lease_s: float = 2.0
     renew_s: float = 0.3
     drift_share: float = 0.02
+    copies: Annotated[int, Meta(ge=0, le=9, description="holders of each shard of copied state")] = 0
 
 
 class Scenario(Struct, frozen=True, forbid_unknown_fields=True):
--- a/merlintally/net/keeper.py
+++ b/merlintally/net/keeper.py
@@ -13,8 +13,7 @@
 from merlintally.net.configuration import Deployment, Listed
 from merlintally.net.counter import Counter
 from merlintally.net.log import Log
-from merlintally.net.peers import Peers
-from merlintally.net.post import Post, Right
+from merlintally.net.post import Noting, Post, Right
 from merlintally.net.servers import Fleet
 from merlintally.net.sockets import Buffer
 from merlintally.net.taken import Answer, Execution, Taken
@@ -43,7 +42,7 @@
         self.fleet: Fleet
         self.timers: Timers
         self.counter: Counter | None = None
-        self.peers: Peers | None = None
+        self.peers: Noting | None = None
         self.taken: dict[int, Taken] = {}
         self.ids = set[bytes]()  # of those taken
         self.last_number = 0
--- a/merlintally/net/node.py
+++ b/merlintally/net/node.py
@@ -109,8 +109,8 @@
                 keeper.counter = self.counter
                 tasks.append(self.counter.run)
             if peer_sock is not None:
-                keeper.peers = Peers(peer_sock, told.peers, told.peers_all, keeper, log)
-                tasks.append(keeper.peers.run)
+                keeper.peers = peers = Peers(peer_sock, told.peers, told.peers_all, keeper, log)
+                tasks.append(peers.run)
             for part in self.parts:
                 tasks.append(partial(part, self, keeper))
             keeper.listed(list(told.known), True)
--- a/merlintally/net/post.py
+++ b/merlintally/net/post.py
@@ -59,6 +59,12 @@
     def noted(self, peer: int, payload: bytes) -> None: ...
 
 
+class Noting(Protocol):
+    """Whoever brings the decisions' notes to the other nodes."""
+
+    def tell(self, payload: bytes) -> None: ...
+
+
 class Right(Protocol):
     """What this node may do by what the nodes have settled among themselves; looked up at each use."""
 
--- a/merlintally/operators/file.py
+++ b/merlintally/operators/file.py
@@ -87,6 +87,19 @@
         float, Meta(ge=0, le=3600, description="after its return, until a machine counts as warm, seconds")
     ] = 15.0
 
+    copies: Annotated[
+        int, Meta(ge=0, le=9, description="nodes that hold each shard of copied state; 0: nothing is copied")
+    ] = 0
+    copy_bytes_s: Annotated[
+        float, Meta(gt=0, le=1e8, description="for copies that a node sends, bytes a second")
+    ] = 20000.0
+    copy_forget_s: Annotated[
+        float, Meta(ge=10, le=86400, description="after which a copy that nobody changes goes, seconds")
+    ] = 120.0
+    copy_cold_s: Annotated[
+        float, Meta(gt=0, le=3600, description="for catching up, after which a node starts cold, seconds")
+    ] = 10.0
+
     def faults(self) -> Iterator[tuple[str, str]]:
         if not self.name:
             return
--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -24,7 +24,7 @@
 from merlintally.forms import Faults
 from merlintally.lab.faults.check import check
 from merlintally.lab.faults.play import play
-from merlintally.lab.faults.scenario import Scenario, read_scenario, shipped
+from merlintally.lab.faults.scenario import FaultForm, Scenario, read_scenario, shipped
 from merlintally.lab.live.play import Live
 from merlintally.net.log import Log
 from merlintally.operators import read_operators
@@ -67,10 +67,16 @@
 
 def test_every_call_has_a_form_and_somebody_who_hears_it() -> None:
     from merlintally.cluster.agreement import Raft
+    from merlintally.cluster.copies import Copies
     from merlintally.cluster.core import Cluster
     from merlintally.cluster.members import Members
 
-    owners: dict[str, tuple[type, str]] = {"r": (Raft, "_"), "m": (Members, "_"), "w": (Cluster, "_on_")}
+    owners: dict[str, tuple[type, str]] = {
+        "r": (Raft, "_"),
+        "m": (Members, "_"),
+        "w": (Cluster, "_on_"),
+        "c": (Copies, "_on_"),
+    }
     for call in FORMS:
         owner, prefix = owners[call[0]]
         assert callable(getattr(owner, prefix + call[2:]))
@@ -386,3 +392,14 @@
     played(
         tmp_path, "late-return", seconds=24.0, fault=soon, work=msgspec.structs.replace(form.work, rounds=1)
     )
+
+
+def test_copies_are_the_same_in_the_end_though_nodes_come_back_with_older_folders(tmp_path: Path) -> None:
+    faults = (
+        FaultForm("kill", 2.0, 1.0, "n0"),
+        FaultForm("older", 4.5, 1.0, "n1"),
+        FaultForm("stop", 7.0, 1.0, "n2"),
+    )
+    found = played(tmp_path, "copies-round", seconds=10.0, processes=3, servers=3, mix=None, fault=faults)
+    measured, stated = found["worst"]["copies equal"]
+    assert measured < stated and found["copies"]["rows"] > 5
--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -104,7 +104,7 @@
         core.put(0.0, USE, f"c{at}", (1.0,), float(at))
     core.wake(1.0)
     sent = [row for _, call, args in core.take_results().sends if call == "rows" for row in args[0]]
-    assert 0 < len(sent) < 10 and sent[0].key == "c99" and core.age() == 100 - len(sent)
+    assert 0 < len(sent) < 10 and sent[0].key == "c99" and len(core.unsent) == 100 - len(sent)
 
 
 def test_no_schedule_breaks_what_is_promised() -> None:
