--- a/merlintally/lab/schedules/copies.py
+++ b/merlintally/lab/schedules/copies.py
@@ -47,6 +47,8 @@
         )
         self.core.follow(self.clock.now(), self.rig.members(), self.rig.zones)
         self.began_with = self.rig.held_by_most(self)
+        if self.core.caught_up:  # by its own word, before it has heard of anybody
+            self.rig.told(self, "caught up", {"after_s": 0.0})
         self.settle()
 
     def settle(self) -> None:
--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -4,6 +4,7 @@
 
 import itertools
 from random import Random
+from typing import Any
 
 import pytest
 
@@ -107,6 +108,81 @@
     assert 0 < len(sent) < 10 and sent[0].key == "c99" and len(core.unsent) == 100 - len(sent)
 
 
+def pair(**terms: Any) -> tuple[Copies, Copies]:
+    """Two nodes of which each holds everything."""
+    found = tuple(Copies(name, 1, Terms(copies=2, **terms), Random(1), 0.0) for name in "ab")
+    for one in found:
+        one.follow(0.0, ["a", "b"], {})
+    return found[0], found[1]
+
+
+def talk(a: Copies, b: Copies, now: float, lost: str = "") -> dict[str, list[tuple[str, float]]]:
+    """Wake both and carry messages until there are none, but calls of the name `lost`; gives the sums that
+    each heard."""
+    heard: dict[str, list[tuple[str, float]]] = {"a": [], "b": []}
+    by_name = {"a": a, "b": b}
+    for one in by_name.values():
+        one.wake(now)
+    while True:
+        results = {name: one.take_results() for name, one in by_name.items()}
+        for name, found in results.items():
+            heard[name] += found.sums
+        sends = [(name, *send) for name, found in results.items() for send in found.sends]
+        if not sends:
+            return heard
+        for sender, to, call, args in sends:
+            if call != lost:
+                by_name[to].hear(now, sender, call, args)
+
+
+def test_each_hears_what_the_others_drew_and_never_its_own_draws() -> None:
+    a, b = pair()
+    a.draw(0.0, "c", 3.0)
+    b.draw(0.0, "c", 5.0)
+    b.draw(0.0, "d", 9.0)  # a draws nothing of it, and is not told
+    heard = [talk(a, b, at / 4) for at in range(1, 12)]
+    assert {row for one in heard for row in one["a"]} == {("c", 5.0)}
+    assert {row for one in heard for row in one["b"]} == {("c", 3.0)}
+
+
+@pytest.mark.parametrize("lost", ["rows", "sums"])
+def test_what_was_lost_on_its_way_is_told_again(lost: str) -> None:
+    """Guards against the row of an owner that is no holder, which nobody else can miss."""
+    a, b = pair()
+    a.draw(0.0, "c", 3.0)
+    b.draw(0.0, "c", 5.0)
+    for at in range(1, 4):
+        talk(a, b, at / 4, lost)
+    assert a.unheard(1.0) is (lost == "rows")
+    for at in range(4, 14):
+        talk(a, b, at / 4)
+    assert (a.sums, b.sums) == ({"c": 5.0}, {"c": 3.0}) and not a.unheard(9.0)
+
+
+def test_a_row_that_nobody_changes_goes_and_does_not_come_back() -> None:
+    a, b = pair(forget_s=10.0)
+    a.draw(0.0, "c", 3.0)
+    talk(a, b, 0.3)
+    rows = b.store_rows()
+    assert [row.figures for row in rows] == [(3.0,)]
+    for at in range(1, 30):
+        talk(a, b, float(at))
+    assert not a.store_rows() and not b.store_rows() and not a.own
+    b.hear(29.5, "a", "rows", (rows,))  # a late word of before
+    assert not b.store_rows()
+    a.draw(30.0, "c", 2.0)  # its owner goes on where it was: a version above, and the units of before
+    talk(a, b, 30.3)
+    assert [(row.version, row.figures) for row in b.store_rows()] == [(2, (5.0,))]
+
+
+@pytest.mark.parametrize("wrong", [-1.0, float("nan"), float("inf"), 1e15])
+def test_a_sum_that_cannot_be_is_refused_whole(wrong: float) -> None:
+    a, _ = pair()
+    a.draw(0.0, "c", 3.0)
+    a.hear(0.1, "b", "sums", ([("c", 4.0), ("c", wrong)],))
+    assert a.sums == {} and a.store.refused == 1
+
+
 def test_no_schedule_breaks_what_is_promised() -> None:
     broken = {seed: verdict.broken for seed in range(12) if (verdict := play(seed)).broken}
     assert broken == {}
