--- a/merlintally/cluster/core.py
+++ b/merlintally/cluster/core.py
@@ -496,8 +496,13 @@
             self.out.answers.append((id_, ok, text))
 
     def _on_answer(self, sender: str, id_: str, ok: bool, text: str) -> None:
-        if self.asked.pop(id_, None) is not None:
-            self.out.answers.append((id_, ok, text))
+        asked = self.asked.pop(id_, None)
+        if asked is None:
+            return
+        if self.now - asked[1] > self.plan.terms.lease_s:
+            # guards against people who touch a machine by the answer that a process stopped meanwhile hands on
+            ok, text = False, "the answer came late, and may be old: ask again"
+        self.out.answers.append((id_, ok, text))
 
     # What is agreed.
 
--- a/tests/test_work.py
+++ b/tests/test_work.py
@@ -268,6 +268,17 @@
     assert ("back", 1, "m0") in led.step(111.1, work, Seen())[0]
 
 
+@pytest.mark.parametrize(("late_s", "taken"), [(2.9, True), (3.1, False)])
+def test_an_answer_that_comes_late_is_not_handed_on(late_s: float, taken: bool) -> None:
+    core = Cluster(Me("a", "a:1", 1), Plan(("b",), {"b": "b:1"}), Kept(), Random(1), 100.0)
+    core.guess = "b"
+    core.ask(100.0, "q", "turn", ["m0"])
+    assert ("b", "w.ask", ("q", "turn", ["m0"])) in core.take_results().sends
+    core.hear(100.0 + late_s, "b", "w.answer", ("q", True, "out"))
+    ((id_, ok, text),) = core.take_results().answers
+    assert (id_, ok) == ("q", taken) and ("ask again" in text) is not taken
+
+
 def led_by_a(voters: tuple[str, ...]) -> Cluster:
     """The core of `a`, elected by `b`."""
     core = Cluster(Me("a", "a:1", 1), Plan(voters, {}), Kept(), Random(1), 100.0)
