--- a/merlintally/cluster/core.py
+++ b/merlintally/cluster/core.py
@@ -500,7 +500,7 @@
         if asked is None:
             return
         if self.now - asked[1] > self.plan.terms.lease_s:
-            # guards against people who touch a machine by the answer that a process stopped meanwhile hands on
+            # guards against people who touch a machine by an answer that a stopped process hands on
             ok, text = False, "the answer came late, and may be old: ask again"
         self.out.answers.append((id_, ok, text))
 
