Parts of ceilings lent among nodes: a core by agreement and leases, with schedules

Even parts refuse where one node has most of a customer's traffic.

Change: loans are entries of the log: a lender does without once it has heard, a borrower draws under its lease, and what is called back is over once the borrower has heard or has no lease for certain. Reports tell what nodes would draw; the leader lends from who has most over to who lacks most. Off (Terms.even is 0): the decisions do not know of it yet.

--- a/merlintally/cli/faults.py
+++ b/merlintally/cli/faults.py
@@ -19,7 +19,13 @@
 
 BROKEN = 3  # exit code
 FOLDER = click.Path(file_okay=False, path_type=Path)
-CORES = ("agreement", "members", "work", "copies")
+CORES = {  # and where their planted mistakes are named
+    "agreement": "agreement",
+    "members": "members",
+    "work": "work",
+    "parts": "work.parts",
+    "copies": "copies",
+}
 CHUNK = 50  # schedules a process takes at once
 json_option = click.option("--json", "as_json", is_flag=True, help="Print for machines.")
 
@@ -114,7 +120,7 @@
 
 
 def mistakes_of(core: str) -> tuple[str, ...]:
-    found: tuple[str, ...] = importlib.import_module(f"merlintally.cluster.{core}").MISTAKES
+    found: tuple[str, ...] = importlib.import_module(f"merlintally.cluster.{CORES[core]}").MISTAKES
     return found
 
 
@@ -133,7 +139,7 @@
 
 
 @click.command()
-@click.argument("core", type=click.Choice(CORES))
+@click.argument("core", type=click.Choice(list(CORES)))
 @click.option("--count", type=click.IntRange(1, 10_000_000), default=500, show_default=True, help="How many.")
 @click.option("--first", type=click.IntRange(0), default=0, show_default=True, help="Seed of the first.")
 @click.option("--processes", type=click.IntRange(1, 256), default=4, show_default=True, help="Side by side.")
@@ -145,8 +151,9 @@
 def schedules(
     core: str, count: int, first: int, processes: int, mistake: str | None, all_mistakes: bool, as_json: bool
 ) -> int:
-    """Try CORE (agreement, members, work or copies) in simulated time under seeded faults; exit code 3 for a
-    broken promise."""
+    """Try CORE (agreement, members, work, parts or copies) in simulated time under seeded faults.
+
+    Exit code 3 for a broken promise."""
     known = mistakes_of(core)
     if mistake is not None and mistake not in known:
         raise Faults(
--- a/merlintally/cluster/core.py
+++ b/merlintally/cluster/core.py
@@ -23,6 +23,7 @@
 from merlintally.cluster.work.coordinator import Coordinator, Report, Terms, lost
 from merlintally.cluster.work.edge import Edge
 from merlintally.cluster.work.order import Seen
+from merlintally.cluster.work.parts import share_of
 from merlintally.cluster.work.state import entry, work_of
 
 FORMS: dict[str, Any] = {
@@ -71,6 +72,7 @@
     idle: bool = True
     off: tuple[str, ...] = ()
     rates: dict[str, float] = field(default_factory=dict)
+    wants: dict[str, int] = field(default_factory=dict)  # thousandths of ceilings, by customer
 
 
 @dataclass(slots=True)
@@ -144,6 +146,15 @@
     def may_send(self, server: str, now: float) -> bool:
         return self.edge.may_send(server, now, self.plan.terms.lease_s)
 
+    def share(self, customer: str, now: float) -> int:
+        """What this node may draw of a customer's ceiling now, in thousandths."""
+        edge, terms = self.edge, self.plan.terms
+        leased = now < edge.until + terms.lease_s
+        knows = edge.caught_up and not edge.said_gone
+        return share_of(
+            self.work.parts, customer, self.me.name, terms.even, leased, knows, self.mistakes
+        )
+
     @property
     def leads(self) -> bool:
         """Whether it leads and knows all that was committed before it did."""
@@ -391,7 +402,13 @@
         self.asked_at = self.asked_at or self.now
         local = self.local
         report = Report(
-            self.me.start, self.work.index, self.edge.turns_of(local.busy), local.idle, local.off, local.rates
+            self.me.start,
+            self.work.index,
+            self.edge.turns_of(local.busy),
+            local.idle,
+            local.off,
+            local.rates,
+            local.wants,
         )
         if to == self.me.name:
             self._on_renew(to, self.now, report, self.raft.blank)
--- a/merlintally/cluster/work/coordinator.py
+++ b/merlintally/cluster/work/coordinator.py
@@ -8,6 +8,8 @@
 from typing import Any, NamedTuple
 
 from merlintally.cluster.work.order import Choice, Seen, next_turn
+from merlintally.cluster.work.parts import Heard as Lender
+from merlintally.cluster.work.parts import next_words
 from merlintally.cluster.work.state import CALLED, GRANTED, OUT, Machine, Turn, Work
 
 
@@ -20,6 +22,7 @@
     drift: float = 0.02
     warm_s: float = 15.0
     longest_s: float = 6.0  # for which an execution may be out: the longest hard limit
+    even: int = 0  # a node's even part of a ceiling, in thousandths; 0: no parts are lent
 
     @property
     def silent_s(self) -> float:
@@ -37,6 +40,7 @@
     idle: bool = False  # whether it has answered all that it took
     off: tuple[str, ...] = ()  # servers on the list that its discovery does not list as on
     rates: dict[str, float] = {}  # executions a second that it sends, by pool
+    wants: dict[str, int] = {}  # what it would draw of customers at a ceiling, in thousandths
 
 
 class Heard:
@@ -108,10 +112,24 @@
         self.choice = next_turn(work, seen)
         if self.choice.machine:
             wanted.append(("call", work.number + 1, self.choice.machine, self.choice.request))
+        if self.terms.even:
+            wanted += next_words(work.parts, self._lenders(now, work), self.terms.even, self.mistakes)
         held = {(turn.number, turn.state) for turn in work.turns.values()}
         self.since = {key: at for key, at in self.since.items() if key in held}
         return wanted, hand_on
 
+    def _lenders(self, now: float, work: Work) -> dict[str, Lender]:
+        """Nodes as the loans see them; also those of which this leader has not heard, which may have a lease
+        of the former one's."""
+        found = {
+            node: Lender(one.report.acts_on, self.silent(node, now), one.report.wants)
+            for node, one in self.heard.items()
+        }
+        for loan in work.parts.loans.values():
+            for node in (loan.lender, loan.borrower):
+                found.setdefault(node, Lender(-1, self.silent(node, now), {}))
+        return found
+
     def overdue(self, now: float, work: Work) -> list[str]:
         """Machines that are out for longer than their request allows."""
         return [
--- a/merlintally/cluster/work/state.py
+++ b/merlintally/cluster/work/state.py
@@ -11,6 +11,8 @@
 import msgspec
 from msgspec import Struct, field
 
+from merlintally.cluster.work.parts import Parts, Refused
+
 CALLED, GRANTED, OUT, RETURNING = "called", "granted", "out", "returning"
 OPEN, PAUSED, CANCELLED, FINISHED = "open", "paused", "cancelled", "finished"
 REMEMBERED, HISTORY = 1024, 200  # ids of entries, lines of history
@@ -104,10 +106,6 @@
     return found
 
 
-class Refused(Exception):
-    """An entry does not fit what is agreed by now; the text says why."""
-
-
 class Work(Struct):
     """All that is agreed. `take` applies one entry."""
 
@@ -121,6 +119,7 @@
     index: int = 0
     listed_at: int = 0  # the entry that the list of machines came with
     voters: tuple[str, ...] = ()  # as the log's entries to `index` have it
+    parts: Parts = field(default_factory=Parts)  # of ceilings, lent among nodes
 
     # Told to others, and kept.
 
@@ -151,12 +150,18 @@
                 return id_, self.taken[id_]
             told = ""
             try:
-                line = (
-                    verbs[verb](*args, mistakes) if verb in ("grant", "call", "out") else verbs[verb](*args)
-                )
+                if (loans := self.parts.verbs().get(verb)) is not None:
+                    loans(index, mistakes, *args)
+                    line = ""
+                else:
+                    line = (
+                        verbs[verb](*args, mistakes)
+                        if verb in ("grant", "call", "out")
+                        else verbs[verb](*args)
+                    )
             except Refused as wrong:
                 told = str(wrong)
-            else:
+            if not told and line:  # loans come and go by the minute, and are no history
                 self.history = [*self.history, f"{index} {line}"][-HISTORY:]
             self.taken[id_] = told
             while len(self.taken) > REMEMBERED:
--- a/merlintally/lab/schedules/work.py
+++ b/merlintally/lab/schedules/work.py
@@ -123,7 +123,11 @@
         elif now >= self.wake_at - 1e-9:
             self.busy = {server: until for server, until in self.busy.items() if until > now}
             self.core.local = Local(
-                frozenset(self.busy), now >= self.open_until, self.rig.off(), self.rig.rates
+                frozenset(self.busy),
+                now >= self.open_until,
+                self.rig.off(),
+                self.rig.rates,
+                self.rig.wants.get(self.name, {}),
             )
             self.core.wake(self.clock.now())
             self.settle()
@@ -161,6 +165,7 @@
         self.worked: dict[str, int] = {}  # machine -> the last turn in which people were at it
         self.down: set[str] = set()  # servers that are not up
         self.rates: dict[str, float] = {}
+        self.wants: dict[str, dict[str, int]] = {}  # node -> customer -> thousandths of its ceiling
         self.budget = ("2", "1", "2")
         self.work_s = (0.2, 1.0)
         self.told: dict[str, tuple[bool, str]] = {}
