--- a/merlintally/cluster/work/coordinator.py
+++ b/merlintally/cluster/work/coordinator.py
@@ -170,7 +170,7 @@
 
     def _voteless(self, work: Work, machine: Machine, seen: Seen) -> str:
         """A voter that was lost since the call counts, too."""
-        if not seen.voters & set(machine.edges):
+        if not seen.voters & set(machine.edges) or "voters are not counted" in self.mistakes:
             return ""
         return work.too_few_voters(
             work.beyond_call() | seen.lost | {machine.name}, seen.voters, seen.blank
--- a/tests/test_work.py
+++ b/tests/test_work.py
@@ -27,6 +27,10 @@
     assert broken == {}
 
 
+def test_a_schedule_in_which_voters_are_not_counted_takes_out_half_of_them() -> None:
+    assert "no majority of voters" in play(4214, ("voters are not counted",)).broken[0]
+
+
 def machines(count: int = 6, **more: Any) -> list[dict[str, Any]]:
     return [
         {
