Tests: kept copies, and sums that reach the decisions as notes

Need: the shell of the copies was tested through whole processes alone.

Change: two tests of its steps.

Result: they pass; the first sum of a start is no news.

--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -3,14 +3,23 @@
 from __future__ import annotations
 
 import itertools
+from io import StringIO
+from pathlib import Path
 from random import Random
+from types import SimpleNamespace
 from typing import Any
 
+import anyio
 import pytest
 
 from merlintally.cluster.copies import MISTAKES, Copies, Row, Store, Terms, holders_of, shard_of
 from merlintally.cluster.copies.store import OUT, SERVER, USE
+from merlintally.cluster.disk import Disk
+from merlintally.cluster.node import ClusterNode
 from merlintally.lab.schedules.copies import play
+from merlintally.net.log import Log
+from merlintally.notes import told, unpack
+from merlintally.operators import ClusterPart
 
 
 def rows(random: Random, count: int) -> list[Row]:
@@ -183,6 +192,33 @@
     assert a.sums == {} and a.store.refused == 1
 
 
+def test_kept_rows_are_read_again_and_spoilt_ones_are_none(tmp_path: Path) -> None:
+    disk = Disk(tmp_path)
+    disk.keep([ROW])
+    assert disk.kept_rows() == [ROW]
+    data = bytearray((tmp_path / "copies").read_bytes())
+    data[-1] ^= 0x55
+    (tmp_path / "copies").write_bytes(data)
+    assert disk.kept_rows() == []
+
+
+def test_what_others_drew_reaches_the_decisions_as_notes_but_for_the_first_sum(tmp_path: Path) -> None:
+    async def act() -> None:
+        log = Log("a", 99.0, StringIO())
+        part = ClusterPart(name="c", folder=str(tmp_path), listen="127.0.0.1:1", voters=("a",), copies=1)
+        node = ClusterNode(part, "a", 1, Disk(tmp_path), log)
+        node._summed([("000000ff", 40.0)])  # drawn before this start heard of it, and long flowed back
+        assert told(node.sums.values()) == b""
+        node._summed([("000000ff", 43.5)])
+        assert list(unpack(told(node.sums.values()))) == [(255, 3.5)]
+        assert told(node.sums.values()) == b""
+        node.tell(told([SimpleNamespace(mark=255, drawn=2.0)]))
+        node._drawn(100.0)
+        assert node.core.copies is not None and node.core.copies.store.used("000000ff") == 2.0
+
+    anyio.run(act)
+
+
 def test_no_schedule_breaks_what_is_promised() -> None:
     broken = {seed: verdict.broken for seed in range(12) if (verdict := play(seed)).broken}
     assert broken == {}
