The referee of real processes: two answers that were held against nodes wrongly

One submission reached a stopped process's socket and was answered 0.05 s after its hard limit, once it went on. Of another the client left in the very tick in which its answer was read: the tick ran the leave, then the answer was told of a submission that was no more (the records have one answer).

Change: what was open at a node while it was stopped is not held late against it; an answer whose client left in that tick is not told.

--- a/merlintally/lab/faults/play.py
+++ b/merlintally/lab/faults/play.py
@@ -87,6 +87,8 @@
 
     def answered(self, node: str, trying: Try, kind: str, now: float) -> None:
         if not self._late(trying):
+            if trying.id in self.orphans:  # read, late, by a process that was stopped when it was sent
+                self.open[trying.id].ends = max(now, self.open[trying.id].ends)
             super().answered(node, trying, kind, now)
         self.diary.add("answered", id=f"{trying.id:016x}", by=node, how=kind)
 
--- a/merlintally/lab/live/processes.py
+++ b/merlintally/lab/live/processes.py
@@ -232,6 +232,8 @@
                     raise ConnectionResetError
                 held += got
             now = live.pump.tick()
+            if trying.over:  # guards against a second answer told of one whose client leaves in this very tick
+                return
             kind = outcome_of(held)
             referee.answered(self.name, trying, kind, now)
             if len(held) > length:
