--- a/merlintally/lab/live/processes.py
+++ b/merlintally/lab/live/processes.py
@@ -232,7 +232,7 @@
                     raise ConnectionResetError
                 held += got
             now = live.pump.tick()
-            if trying.over:  # guards against a second answer told of one whose client leaves in this very tick
+            if trying.over:  # guards against an answer of one whose client left in this very tick
                 return
             kind = outcome_of(held)
             referee.answered(self.name, trying, kind, now)
