--- a/merlintally/lab/faults/play.py
+++ b/merlintally/lab/faults/play.py
@@ -38,6 +38,7 @@
 from merlintally.lab.servers import Server
 
 SECRET, LEADER_S = "of the laboratory", 60.0
+COPIES_PRICE = 1e-6  # of a note: copies have a byte budget of their own
 FORWARDED = ("heartbeat_s", "election_s", "period_s", "lease_s", "renew_s", "drift_share", "copies")
 
 
@@ -116,6 +117,7 @@
         if self.live.scenario.cluster is not None and self.live.scenario.cluster.copies:
             for key in ("peer_listen", "peers", "peers_all"):  # use is told by copies and not by notes
                 found.pop(key)
+            found["settings"]["prices"]["peer"] = COPIES_PRICE
         return found
 
     def operators(self) -> Path:
