Copies: a hot row no longer hides that nobody answers; work at each wake is bounded

Seen while reading: a row that changes all the time set its time of sending anew with each change, so that a node whose holders had gone silent still counted as hearing all. And at 100,000 customers every wake sorted all that was unsent, each row that went rebuilt the table of sums that are owed, each change of members walked over all rows.

Change: a row keeps the time since which its first unanswered version is out; what goes out next is taken by a heap, sums that are owed are kept by customer, and a change of members looks at shards whose first holder this node became, or at all its own where a node came.

--- a/merlintally/cluster/copies/spread.py
+++ b/merlintally/cluster/copies/spread.py
@@ -6,6 +6,7 @@
 from collections import Counter, OrderedDict
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
+from heapq import nlargest
 from random import Random
 from typing import Any, NamedTuple
 
@@ -100,11 +101,13 @@
         # little later bring back, and against an owner that begins again with a version of before.
         self.forgotten: dict[tuple[str, str, str, int], tuple[float, int, tuple[float, ...]]] = {}
         self.sweep_at, self.turn = now, 0
-        # own row -> version that is out, since; own row -> holder -> version it has said to hold
-        self.sent: dict[tuple[str, str, str, int], tuple[int, float]] = {}
+        # own row -> first version that is out and since when, last one and since when; own row -> holder ->
+        # version that it has said to hold
+        self.sent: dict[tuple[str, str, str, int], tuple[int, float, int, float]] = {}
         self.taken: dict[tuple[str, str, str, int], dict[str, int]] = {}
         self.moved: OrderedDict[str, None] = OrderedDict()  # customers whose owners are to hear of the sum
-        self.owed: dict[tuple[str, str], tuple[float, float]] = {}  # node, customer -> sum told, when
+        self.owed: dict[str, dict[str, tuple[float, float]]] = {}  # customer -> node -> sum told, when
+        self.first: set[int] = set()  # shards whose first holder this node is
         self.sums: dict[str, float] = {}  # what all others drew, of the customers that this start drew of
         for row in self.store_rows():
             self.touched[row.name] = now
@@ -116,7 +119,9 @@
         """Who there is. A shard that is no longer this node's is kept until its holders have met its
         digest."""
         self.now = now
+        before_members = set(self.members)
         self.members, self.zones = sorted(set(members) | {self.name}), zones
+        came = set(self.members) - before_members
         self.holders.clear()
         before, self.held = self.held, {one for one in range(SHARDS) if self.name in self._holders(one)}
         for shard in before - self.held:
@@ -129,10 +134,16 @@
         ):  # what it may have been told of it while others held it is not enough
             self.met[shard].clear()
             self.sure[shard].clear()
-        for kind, key in self.store.keys:  # one that was not told by the former first holder is told by this
-            if kind == USE and self._holders(shard_of(kind, key))[0] == self.name:
-                self.moved[key] = None
-        self.owed = {to: told for to, told in self.owed.items() if to[0] in self.members}
+        first = {shard for shard in self.held if self._holders(shard)[0] == self.name}
+        # what the former first holder may not have told, and what one that is new here may have missed
+        for shard in first if came else first - self.first:
+            self.moved.update((row.key, None) for row in self.store.shard(shard) if row.kind == USE)
+        self.first = first
+        there = {
+            customer: {to: told for to, told in told_to.items() if to in self.members}
+            for customer, told_to in self.owed.items()
+        }
+        self.owed = {customer: told_to for customer, told_to in there.items() if told_to}
         for name in self.own:  # guards against rows whose holders have all gone, while their owner is there
             to = self._others(shard_of(*name[:2]))
             if to and not set(to) & set(self.taken.get(name, ())):
@@ -193,7 +204,7 @@
 
     def unheard(self, now: float) -> bool:
         """Whether a row of its own is out for long, with no majority of the other holders to answer."""
-        return any(now - at > self.terms.again_s / 2 for _, at in self.sent.values())
+        return any(now - at > self.terms.again_s / 2 for _, at, _, _ in self.sent.values())
 
     # Spread.
 
@@ -210,12 +221,15 @@
     def _unanswered(self) -> None:
         """Rows that no majority of the other holders has said to hold are told again. Guards against one that
         was lost on its way from an owner who is no holder: nobody else can miss it. Schedules showed it."""
-        for name, (version, at) in list(self.sent.items()):
+        for name, (first, _, last, at) in list(self.sent.items()):
             to, held = self._others(shard_of(*name[:2])), self.taken.get(name, {})
-            if 2 * sum(held.get(one, 0) >= version for one in to) > len(to) or not to:
-                del self.sent[name]
-            elif self.now - at > self.terms.again_s:
+            got = sorted((held.get(one, 0) for one in to), reverse=True)[len(to) // 2] if to else last
+            if got >= last:
                 del self.sent[name]
+                continue
+            if got >= first:
+                self.sent[name] = (last, at, last, at)
+            if self.now - at > self.terms.again_s:
                 self.unsent.setdefault(name, 1.0)
 
     def _on_took(self, sender: str, rows: list[tuple[str, str, int, int]]) -> None:
@@ -228,7 +242,7 @@
         """What is unsent, most telling first, to the holders of its shard, within the budget."""
         batches: dict[str, list[Row]] = {}
         self._unanswered()
-        for name in sorted(self.unsent, key=lambda one: -self.unsent[one]):
+        for name in nlargest(int(self.room / HEAD) + 1, self.unsent, key=self.unsent.__getitem__):
             row = self.own.get(name)
             to = self._others(shard_of(*name[:2]))
             if row is None:
@@ -241,7 +255,8 @@
             for one in to:
                 batches.setdefault(one, []).append(row)
             del self.unsent[name]
-            self.sent[name] = (row.version, self.now)
+            first, since, *_ = self.sent.get(name, (row.version, self.now))
+            self.sent[name] = (first, since, row.version, self.now)
         for one, rows in batches.items():
             for at in range(0, len(rows), self.terms.chunk):
                 self._send(one, "rows", rows[at : at + self.terms.chunk])
@@ -258,8 +273,8 @@
     def _sum_up(self) -> None:
         """The first holder of a customer tells each node that draws of it what all others drew. Sums are
         whole, and told again until they are answered."""
-        for (_, customer), (_, at) in self.owed.items():
-            if self.now - at > self.terms.again_s:
+        for customer, told_to in self.owed.items():
+            if any(self.now - at > self.terms.again_s for _, at in told_to.values()):
                 self.moved[customer] = None
         batches: dict[str, list[tuple[str, float]]] = {}
         for customer in list(self.moved):
@@ -284,7 +299,7 @@
                     self._take_sum(customer, told)
                 elif node in to:
                     batches.setdefault(node, []).append((customer, told))
-                    self.owed[node, customer] = (told, self.now)
+                    self.owed.setdefault(customer, {})[node] = (told, self.now)
         for node, sums in batches.items():
             for at in range(0, len(sums), self.terms.chunk):
                 self._send(node, "sums", sums[at : at + self.terms.chunk])
@@ -306,8 +321,11 @@
 
     def _on_summed(self, sender: str, sums: list[tuple[str, float]]) -> None:
         for customer, units in sums:
-            if self.owed.get((sender, customer), (None, 0.0))[0] == units:
-                del self.owed[sender, customer]
+            told_to = self.owed.get(customer, {})
+            if told_to.get(sender, (None, 0.0))[0] == units:
+                del told_to[sender]
+                if not told_to:
+                    del self.owed[customer]
 
     def _forget(self) -> None:
         """Rows that nobody has changed for long: customers seen once, dead starts."""
@@ -328,7 +346,7 @@
             self.store.forget(name)
         for table in (self.unsent, self.sent, self.taken):
             table.pop(name, None)
-        self.owed = {to: told for to, told in self.owed.items() if to[1] != name[1]} if self.owed else {}
+        self.owed.pop(name[1], None)
         if name[2:] == (self.name, self.start):
             self.sums.pop(name[1], None)
 
--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -168,6 +168,18 @@
     assert (a.sums, b.sums) == ({"c": 5.0}, {"c": 3.0}) and not a.unheard(9.0)
 
 
+def test_a_customer_drawn_of_all_the_time_does_not_hide_that_nobody_answers() -> None:
+    a, b = pair()
+    for at in range(1, 12):
+        a.draw(at / 4, "c", 1.0)
+        talk(a, b, at / 4)
+    assert not a.unheard(11 / 4)
+    for at in range(12, 20):
+        a.draw(at / 4, "c", 1.0)
+        talk(a, b, at / 4, "rows")
+    assert a.unheard(19 / 4)
+
+
 def test_a_row_that_nobody_changes_goes_and_does_not_come_back() -> None:
     a, b = pair(forget_s=10.0)
     a.draw(0.0, "c", 3.0)
