Copies: a change of members and idle rows cost a bounded time a wake

Need: with 100,000 customers in one node a change of members walked over all its rows with their holders (313 ms), a first sum over all customers (308 ms), and all idle rows went at once (1257 ms): the node stands still meanwhile.

Change: own rows are looked at only in shards whose holders changed; 1000 sums and 2000 idle rows a wake.

--- a/merlintally/cluster/copies/spread.py
+++ b/merlintally/cluster/copies/spread.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from heapq import nlargest
+from itertools import islice
 from random import Random
 from typing import Any, NamedTuple
 
@@ -31,6 +32,7 @@
     "same": tuple[int, int, bool],  # shard, digest that is equal, whether its sender has caught up with it
 }
 HEAD = 48  # bytes of a row beside its names
+MOST_SUMS, MOST_FORGOTTEN = 1000, 2000  # looked at in one wake
 
 
 class Terms(NamedTuple):
@@ -122,7 +124,7 @@
         before_members = set(self.members)
         self.members, self.zones = sorted(set(members) | {self.name}), zones
         came = set(self.members) - before_members
-        self.holders.clear()
+        old, self.holders = self.holders, {}
         before, self.held = self.held, {one for one in range(SHARDS) if self.name in self._holders(one)}
         for shard in before - self.held:
             if self.store.digest(shard):
@@ -144,9 +146,12 @@
             for customer, told_to in self.owed.items()
         }
         self.owed = {customer: told_to for customer, told_to in there.items() if told_to}
-        for name in self.own:  # guards against rows whose holders have all gone, while their owner is there
-            to = self._others(shard_of(*name[:2]))
-            if to and not set(to) & set(self.taken.get(name, ())):
+        # guards against rows whose holders have all gone, while their owner is there
+        to = {shard: set(self._others(shard)) for shard in range(SHARDS)}
+        changed = {shard for shard in to if to[shard] and self.holders[shard] != old.get(shard)}
+        for name in self.own:
+            shard = shard_of(*name[:2])
+            if shard in changed and to[shard].isdisjoint(self.taken.get(name, ())):
                 self.unsent.setdefault(name, 1.0)
         if "a shard moves before it is held" in self.mistakes:
             for shard in list(self.leaving):
@@ -277,7 +282,7 @@
             if any(self.now - at > self.terms.again_s for _, at in told_to.values()):
                 self.moved[customer] = None
         batches: dict[str, list[tuple[str, float]]] = {}
-        for customer in list(self.moved):
+        for customer in list(islice(self.moved, MOST_SUMS)):
             if self._holders(shard_of(USE, customer))[0] != self.name:
                 del self.moved[customer]
                 continue
@@ -330,9 +335,11 @@
     def _forget(self) -> None:
         """Rows that nobody has changed for long: customers seen once, dead starts."""
         least = self.now - self.terms.forget_s
-        for name, at in list(self.touched.items()):
-            if at < least:
-                self._drop(name)
+        idle = [name for name, at in self.touched.items() if at < least]
+        for name in idle[:MOST_FORGOTTEN]:
+            self._drop(name)
+        if len(idle) > MOST_FORGOTTEN:
+            self.sweep_at = self.now + self.terms.spread_s
         for name, (at, _, _) in list(self.forgotten.items()):
             # an owner remembers for longer than all others
             if at < self.now - self.terms.forget_s * (4 if name[2:] == (self.name, self.start) else 2):
