Tests of the commands for copies, and of a faulty number of them

Need: the commands were tried by hand alone. Change: tests with two cores behind them; exit codes are those of the commands.

--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -19,7 +19,9 @@
 from click.testing import CliRunner
 
 from merlintally.cli.front import front
-from merlintally.cluster.core import FORMS
+from merlintally.cluster.agreement import Kept
+from merlintally.cluster.copies import Terms as CopyTerms
+from merlintally.cluster.core import FORMS, Cluster, Me, Plan
 from merlintally.cluster.links import FORM, MOST_HELLO, Bad, Codec, Links, ask, call_of, read_frame
 from merlintally.forms import Faults
 from merlintally.lab.faults.check import check
@@ -30,6 +32,7 @@
 from merlintally.operators import read_operators
 
 Heard = list[tuple[str, str, tuple[Any, ...]]]
+COPYING = Plan(("n0", "n1"), {"n0": "n0:1", "n1": "n1:1"}, copies=CopyTerms())
 
 
 # Frames.
@@ -68,7 +71,6 @@
 def test_every_call_has_a_form_and_somebody_who_hears_it() -> None:
     from merlintally.cluster.agreement import Raft
     from merlintally.cluster.copies import Copies
-    from merlintally.cluster.core import Cluster
     from merlintally.cluster.members import Members
 
     owners: dict[str, tuple[type, str]] = {
@@ -208,6 +210,10 @@
             "cluster.votters: there is no such key (did you mean voters?)",
         ),
         (('listen = "127.0.0.1:7601"', ""), "cluster.listen: is missing"),
+        (
+            ('name = "c"', 'name = "c"\ncopies = 12'),
+            "cluster.copies: Expected `int` <= 9, not 12",
+        ),
     ],
 )
 def test_a_faulty_section_is_told_by_its_key(tmp_path: Path, change: tuple[str, str], why: str) -> None:
@@ -220,7 +226,7 @@
 
 def run(*args: str) -> tuple[int, str]:
     """The command line, and what it prints; Faults become exit code 2 with their lines, as in `main`."""
-    found = CliRunner().invoke(front, args)
+    found = CliRunner().invoke(front, args, standalone_mode=False)
     if isinstance(found.exception, Faults):
         return 2, "\n".join(found.exception.lines)
     return found.return_value if isinstance(found.return_value, int) else found.exit_code, found.output
@@ -238,6 +244,35 @@
     assert {row["name"] for row in rows} == {"new leader", "right gone", "work goes on"}
 
 
+def test_copies_are_shown_compared_and_taken_out(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    path, file = tmp_path / "operators.toml", tmp_path / "rows"
+    path.write_text(GOOD.format(folder=tmp_path / "state") + 'n1 = "127.0.0.1:7602"\n')
+    mes = (Me("n0", "n0:1", 1), Me("n1", "n1:1", 1))
+    cores = {me.name: Cluster(me, COPYING, Kept(), Random(1), 0.0) for me in mes}
+
+    def answered(part: Any, node: str | None, verb: str, args: list[Any]) -> tuple[bool, str]:
+        core = cores[node or "n0"]
+        core.ask(1.0, "q", verb, args)
+        return core.take_results().answers[0][1:]
+
+    monkeypatch.setattr("merlintally.cli.copying.ask", answered)
+    assert run("copies", "compare", "--operators", str(path))[0] == 0
+    copies = cores["n0"].copies
+    assert copies is not None
+    copies.draw(0.0, "c", 3.0)
+    code, text = run("copies", "compare", "--operators", str(path))
+    assert code == 3 and "64 shards held by those asked, 1 of them differ" in text
+    assert "catching up; 1 rows, 64 shards" in run("copies", "status", "--operators", str(path))[1]
+    assert run("copies", "quarantine", "--operators", str(path))[1] == "none\n"
+    run("copies", "export", "--operators", str(path), str(file))
+    assert json.loads(file.read_text()) == ["use", "c", "n0", 1, 1, [3.0]]
+    cores["n0"].copies = None
+    assert run("copies", "status", "--operators", str(path)) == (
+        2,
+        "cluster.copies: is 0 at n0, which keeps no copies",
+    )
+
+
 def test_bad_requests_are_refused_before_anything_is_asked(tmp_path: Path) -> None:
     path, machines = tmp_path / "operators.toml", tmp_path / "machines.toml"
     path.write_text(GOOD.format(folder=tmp_path / "state"))
