--- a/merlintally/lab/schedules/measure.py
+++ b/merlintally/lab/schedules/measure.py
@@ -1,13 +1,17 @@
 """Figures of the cores by size, in simulated time: `python -m merlintally.lab.schedules.measure
-members|work|goes-on`.
+members|work|goes-on|copies|memory`.
 
 Prints a row for each size, as docs/members.md and docs/work-order.md have them.
 """
 
 from __future__ import annotations
 
+import os
 import sys
+import time
+from collections.abc import Callable
 from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
 from random import Random
 from statistics import mean, median
 from typing import Any
@@ -119,11 +123,63 @@
     return {"caught_s": rig.caught[0] if rig.caught else float("inf"), "came": rig.came, "rest": rest}
 
 
+def resident() -> float:
+    """MB of this process that are in memory now."""
+    pages = int(Path("/proc/self/statm").read_text().split()[1])
+    return pages * os.sysconf("SC_PAGESIZE") / 1e6
+
+
+def memory_row(customers: int) -> dict[str, float]:
+    """One node that draws of so many customers, all within one wake: MB, microseconds a draw, and the longest
+    that one call stands still, ms."""
+    core = CopiesCore("n0", 1, CopyTerms(budget=1e5), Random(1), 0.0)
+    core.follow(0.0, [f"n{at}" for at in range(5)], {})
+    before, spent = resident(), dict[str, float]()
+
+    def timed(what: str, call: Callable[[], None]) -> None:
+        began = time.perf_counter()
+        call()
+        spent[what] = max(spent.get(what, 0.0), time.perf_counter() - began)
+
+    def draw(count: int) -> None:
+        for at in range(count):
+            core.draw(0.0, f"{at:08x}", 1.0)
+
+    timed("first", lambda: draw(customers))
+    held = resident() - before
+    timed("again", lambda: draw(customers // 10))
+    timed("wake", lambda: core.wake(1.0))
+    timed("follow", lambda: core.follow(2.0, [f"n{at}" for at in range(6)], {}))
+    now = 2.0 + core.terms.forget_s
+    while core.own:
+        now += core.terms.spread_s
+        timed("forget", lambda now=now: core.wake(now))  # type: ignore[misc]
+        core.take_results()
+    return {
+        "mb": held,
+        "first_us": 1e6 * spent["first"] / customers,
+        "again_us": 1e6 * spent["again"] / (customers // 10),
+        **{f"{what}_ms": 1e3 * spent[what] for what in ("wake", "follow", "forget")},
+    }
+
+
+def print_memory() -> None:
+    print("| customers | MB | a first draw, one more, us | wake, change of members, forgetting at most, ms |")
+    print("| --- | --- | --- | --- |")
+    for customers in (1000, 10_000, 100_000):
+        row = memory_row(customers)
+        stood = f"{row['wake_ms']:.0f}, {row['follow_ms']:.0f}, {row['forget_ms']:.0f}"
+        print(f"| {customers} | {row['mb']:.1f} | {row['first_us']:.0f}, {row['again_us']:.0f} | {stood} |")
+
+
 def main() -> int:
     what = sys.argv[1] if len(sys.argv) > 1 else ""
-    if what not in ("members", "work", "goes-on", "copies"):
+    if what not in ("members", "work", "goes-on", "copies", "memory"):
         print(__doc__, file=sys.stderr)
         return 2
+    if what == "memory":
+        print_memory()
+        return 0
     with ProcessPoolExecutor() as pool:
         if what == "members":
             print_members(pool)
