Copies count as hearing all beside a few dead members, and only on a majority's side

Need: one dead member of hundreds had every node go by the counter until it was forgotten, an hour later; and after a partition each side, its dead forgotten, would have counted as hearing all.

Change: at most a tenth of the members may be suspected or dead (of nine and fewer none), and the node's right has to be renewed by a leader whom a majority follows.

Result: a test with five and forty members.

--- a/merlintally/cluster/core.py
+++ b/merlintally/cluster/core.py
@@ -19,7 +19,7 @@
 from merlintally.cluster.agreement.log import CONFIG, DATA, config_of
 from merlintally.cluster.copies import Copies, Row
 from merlintally.cluster.members import Members, Rhythm
-from merlintally.cluster.members.core import DEAD, LEFT, START, STATES
+from merlintally.cluster.members.core import DEAD, LEFT, START, STATES, SUSPECT
 from merlintally.cluster.work.coordinator import Coordinator, Report, Terms, lost
 from merlintally.cluster.work.edge import Edge
 from merlintally.cluster.work.order import Seen
@@ -42,6 +42,7 @@
 STREAMED = ("r.", "w.", "c.", "m.state")  # over a stream; all else is a datagram
 COMPACT_AFTER, MOST_ENTRIES, MOST_WAITING = 500, 200, 1024
 STEP_S = 0.1
+UNWELL = 0.1  # share of the members whose draws may go unseen
 
 
 class Me(NamedTuple):
@@ -278,11 +279,16 @@
         return found
 
     def hears_all(self, now: float) -> bool:
-        """Whether what others draw is known here soon: all members are well, this node has caught up, and
-        the holders of its own rows answer."""
-        one = self.copies
-        well = all(member.state in (0, LEFT) for member in self.members.known.values())
-        return one is not None and one.caught_up and well and not one.unheard(now)
+        """Whether nearly all that others draw is known here soon: this node has caught up, is of the side
+        that a leader with a majority answers, the holders of its own rows answer, and of the members no more
+        than UNWELL are suspected or dead (of few, none). Guards against one dead node of hundreds that has
+        all of them go by the counter, and against two sides that each count as hearing all."""
+        one, known = self.copies, self.members.known.values()
+        unwell = sum(member.state in (SUSPECT, DEAD) for member in known)
+        leased = now < self.edge.until + self.plan.terms.lease_s
+        if one is None or not leased or unwell > UNWELL * len(known):
+            return False
+        return one.caught_up and not one.unheard(now)
 
     def _follow_copies(self) -> None:
         assert self.copies is not None
--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -12,9 +12,12 @@
 import anyio
 import pytest
 
+from merlintally.cluster.agreement import Kept
 from merlintally.cluster.copies import MISTAKES, Copies, Row, Store, Terms, holders_of, shard_of
 from merlintally.cluster.copies.store import OUT, SERVER, USE
+from merlintally.cluster.core import Cluster, Me, Plan
 from merlintally.cluster.disk import Disk
+from merlintally.cluster.members.core import DEAD
 from merlintally.cluster.node import ClusterNode
 from merlintally.lab.schedules.copies import play
 from merlintally.net.log import Log
@@ -204,6 +207,30 @@
     assert a.sums == {} and a.store.refused == 1
 
 
+@pytest.mark.parametrize(
+    ("others", "dead", "leased", "whole"),
+    [
+        (4, 0, True, True),
+        (4, 1, True, False),
+        (4, 0, False, False),
+        (39, 3, True, True),
+        (39, 5, True, False),
+    ],
+)
+def test_the_decisions_count_as_hearing_all_only_where_nearly_all_are_well(
+    others: int, dead: int, leased: bool, whole: bool
+) -> None:
+    names = [f"n{at}" for at in range(others)]
+    plan = Plan(("n0",), {name: f"{name}:1" for name in names}, copies=Terms())
+    core = Cluster(Me("a", "a:1", 1), plan, Kept(), Random(1), 100.0)
+    assert core.copies is not None
+    core.copies.caught_up = True
+    core.edge.renewed(100.0 if leased else 90.0, 0, 100.0)
+    for name in names[:dead]:
+        core.members.known[name].state = DEAD
+    assert core.hears_all(101.0) is whole
+
+
 def test_kept_rows_are_read_again_and_spoilt_ones_are_none(tmp_path: Path) -> None:
     disk = Disk(tmp_path)
     disk.keep([ROW])
