--- a/merlintally/cluster/core.py
+++ b/merlintally/cluster/core.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from merlintally.cluster import agreement, copies, members
+from merlintally.cluster import UNWELL, agreement, copies, members
 from merlintally.cluster.agreement import Config, Entry, Kept, Pace, Raft
 from merlintally.cluster.agreement.log import CONFIG, DATA, config_of
 from merlintally.cluster.copies import Copies, Row
@@ -42,7 +42,6 @@
 STREAMED = ("r.", "w.", "c.", "m.state")  # over a stream; all else is a datagram
 COMPACT_AFTER, MOST_ENTRIES, MOST_WAITING = 500, 200, 1024
 STEP_S = 0.1
-UNWELL = 0.1  # share of the members whose draws may go unseen
 
 
 class Me(NamedTuple):
--- a/merlintally/cluster/node.py
+++ b/merlintally/cluster/node.py
@@ -16,6 +16,7 @@
 
 import anyio
 
+from merlintally.cluster import FELLOWS
 from merlintally.cluster.agreement import Pace
 from merlintally.cluster.copies import Terms as CopyTerms
 from merlintally.cluster.core import STREAMED, Cluster, Local, Me, Plan
@@ -37,7 +38,6 @@
 QUEUE, AGAIN_S, RATE_S, CLIENT_S = 4096, 1.0, 2.0, 10.0
 KEEP_S, HEARD_S = 5.0, 0.4  # between copies on disk; between words to the decisions that all is heard
 MOST_NOTES = 1024  # that wait
-FELLOWS = -1  # as whom the decisions hear all other nodes together
 
 
 def plan_of(part: ClusterPart) -> Plan:
--- a/merlintally/lab/days.py
+++ b/merlintally/lab/days.py
@@ -235,6 +235,14 @@
     lost: Annotated[Share, Meta(description="part that never arrives")] = 0.05
     heard_per_s: Annotated[Above, Meta(description="notes that an edge node takes in, a second")] = 100.0
     price: Annotated[Least, Meta(description="points of G for one full note a submission")] = 0.08
+    copied_s: Annotated[
+        Least,
+        Meta(
+            description="where above 0, draws go by the cluster's copies in place of notes: to all within so "
+            "many seconds, at no price, and to nobody while a zone is cut off or over a tenth of the edge "
+            "nodes are down"
+        ),
+    ] = 0.0
 
 
 class Rules(Struct, frozen=True, forbid_unknown_fields=True):
--- a/merlintally/lab/faults/play.py
+++ b/merlintally/lab/faults/play.py
@@ -36,9 +36,9 @@
 from merlintally.lab.record import Record
 from merlintally.lab.referee import Referee
 from merlintally.lab.servers import Server
+from merlintally.lab.told import COPIES_PRICE
 
 SECRET, LEADER_S = "of the laboratory", 60.0
-COPIES_PRICE = 1e-6  # of a note: copies have a byte budget of their own
 FORWARDED = ("heartbeat_s", "election_s", "period_s", "lease_s", "renew_s", "drift_share", "copies")
 
 
--- a/merlintally/lab/front.py
+++ b/merlintally/lab/front.py
@@ -100,6 +100,9 @@
     def noted(self, peer: int, payload: bytes) -> None:
         """A note of another edge node has come."""
 
+    def copied(self, payload: bytes) -> None:
+        """What others drew has come by the cluster's copies."""
+
     def submit(self, trying: Try) -> None:
         raise NotImplementedError
 
--- a/merlintally/lab/nodes.py
+++ b/merlintally/lab/nodes.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
+from merlintally.cluster import FELLOWS
 from merlintally.lab.builds import Build
 from merlintally.lab.discovery import Entry
 from merlintally.lab.front import Node, Try
@@ -198,6 +199,13 @@
     def noted(self, peer: int, payload: bytes) -> None:
         self.event(self.life, self._noted, peer, payload)
 
+    def copied(self, payload: bytes) -> None:
+        """What others drew, by the cluster's copies."""
+        self.event(self.life, self._copied, payload)
+
+    def _copied(self, payload: bytes) -> None:
+        self.gateway.noted(self.world.agenda.now, FELLOWS, payload)
+
     def _noted(self, peer: int, payload: bytes) -> None:
         now, most = self.world.agenda.now, self.world.day.notes.heard_per_s
         self.heard_left = min(most, self.heard_left + (now - self.heard_at) * most)
--- a/merlintally/lab/told.py
+++ b/merlintally/lab/told.py
@@ -8,6 +8,7 @@
 from merlintally.facts import EFFECTS
 from merlintally.lab.days import Day
 
+COPIES_PRICE = 1e-6  # of a note that goes by copies, which have a byte budget of their own
 REPEATS: dict[str, str] = {effect: word for word, effect in EFFECTS.items()}
 
 
@@ -64,7 +65,7 @@
             "idleCloseS": fleet.idle_close_s,
         },
         "report": {"names": ["queue", "inflight", "util"] if fleet.report else []},
-        "prices": {"peer": day.notes.price, "waste": day.goal.waste},
+        "prices": {"peer": COPIES_PRICE if day.notes.copied_s else day.notes.price, "waste": day.goal.waste},
         "rules": {
             "drainGraceS": rules.drain_grace_s,
             "coldFrom": rules.cold_share,
--- a/merlintally/lab/world.py
+++ b/merlintally/lab/world.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, Any
 
 import merlintally.lab.maintenance  # noqa: F401  (it brings kinds of trouble)
+from merlintally.cluster import UNWELL
 from merlintally.lab.agenda import Agenda, chance
 from merlintally.lab.counter import Counter
 from merlintally.lab.days import Day
@@ -91,6 +92,9 @@
 
     def spread(self, sender: Node, note: bytes) -> None:
         """A note goes to every other edge node, late, or is lost on the way."""
+        if self.day.notes.copied_s > 0:
+            self._copy(sender, note)
+            return
         late, dice, counts = self.day.notes.late_s, self.dice, self.referee.counts
         for node in self.nodes:
             if node is sender or not node.alive:
@@ -99,6 +103,17 @@
             if dice.random() >= self.notes_lost and not self.cut(sender.zone, node.zone):
                 self.agenda.after(dice.uniform(*late), node.noted, sender.number, note)
 
+    def _copy(self, sender: Node, note: bytes) -> None:
+        """What a node drew reaches the others as sums from holders: after a while, as of one fellow. Nodes
+        that can't hear all are told nothing, as `Cluster.hears_all` has it."""
+        down = sum(not node.alive for node in self.nodes)
+        if self.cut_zones or down > UNWELL * len(self.nodes):
+            return
+        longest = self.day.notes.copied_s
+        for node in self.nodes:
+            if node is not sender and node.alive:
+                self.agenda.after(self.dice.uniform(0.5, 1.0) * longest, node.copied, note)
+
     def up_servers(self) -> list[Server]:
         return [one for one in self.servers.values() if one.state == "up"]
 
