--- a/merlintally/cluster/copies/spread.py
+++ b/merlintally/cluster/copies/spread.py
@@ -42,7 +42,7 @@
 
     copies: int = 3
     budget: float = 20000.0
-    spread_s: float = 0.2
+    spread_s: float = 0.1
     compare_s: float = 0.1
     chunk: int = 100  # rows or names in one message
     cold_after_s: float = 10.0  # after which one that has not caught up starts cold, and says so
