--- a/merlintally/lab/schedules/copies.py
+++ b/merlintally/lab/schedules/copies.py
@@ -284,9 +284,7 @@
         rig.kill(node)
         world.after(random.uniform(0.1, 2.0), rig.back, node, list(kept))
     elif what in ("cut", "one way"):
-        side = random.sample(names, random.randint(1, len(names) - 1))
-        world.part(side, set(names) - set(side), what == "cut")
-        world.after(random.uniform(0.5, 4.0), world.cut.clear)
+        world.part_some(names, random, what == "cut", (0.5, 4.0))
     elif node.core is not None:
         row = Row(USE, random.choice(rig.customers), "n0", 1, 10**6, (float("inf"),))
         if what == "late" and node.folder:  # news of a former time arrives once more
--- a/merlintally/lab/schedules/work.py
+++ b/merlintally/lab/schedules/work.py
@@ -411,9 +411,7 @@
         if what == "stop":
             node.stopped_until = world.now + random.choice((0.5, 2.5, 6.0))
         elif what in ("part", "one way"):
-            side = random.sample(names, random.randint(1, len(names) - 1))
-            world.part(side, set(names) - set(side), what == "part")
-            world.after(random.uniform(0.3, 5.0), world.cut.clear)
+            world.part_some(names, random, what == "part")
         else:
             # a majority of voters without their logs is lost for good: one at a time, until it votes again
             whole = all(one.core is not None and not one.core.raft.blank for one in rig.nodes.values())
--- a/merlintally/lab/schedules/world.py
+++ b/merlintally/lab/schedules/world.py
@@ -56,6 +56,14 @@
                 if both:
                     self.cut.add((b, a))
 
+    def part_some(
+        self, names: list[str], random: Random, both: bool, lasts_s: tuple[float, float] = (0.3, 5.0)
+    ) -> None:
+        """Cut some of them off from the others, one way or both, for a while."""
+        side = random.sample(names, random.randint(1, len(names) - 1))
+        self.part(side, set(names) - set(side), both)
+        self.after(random.uniform(*lasts_s), self.cut.clear)
+
 
 @dataclass(slots=True)
 class Verdict:
