--- a/merlintally/cluster/node.py
+++ b/merlintally/cluster/node.py
@@ -244,8 +244,8 @@
             if one is None:
                 self.sums[customer] = Sum(int(customer, 16), units)
             else:
-                # Guards against a sum that can't be, told by a faulty node, that is handed on in notes for ever:
-                # what is beyond a store takes nothing from it anyhow.
+                # Guards against a faulty node's sum that can't be, handed on in notes for ever: what is
+                # beyond a store takes nothing from it anyhow.
                 one.drawn, one.heard = min(MOST_DRAWN, one.drawn + units - one.heard), units
         if self.core.copies is not None and len(self.sums) > 2 * len(self.core.copies.sums) + 64:
             self.sums = {key: one for key, one in self.sums.items() if key in self.core.copies.sums}
