--- a/merlintally/lab/schedules/work.py
+++ b/merlintally/lab/schedules/work.py
@@ -373,13 +373,14 @@
         return self.world.now
 
 
-def play(seed: int, mistakes: Iterable[str] = ()) -> Verdict:
-    """One schedule: work on all of 4 to 7 machines goes round under faults; in the end all of it is done."""
+def play(seed: int, mistakes: Iterable[str] = (), size: int = 0) -> Verdict:
+    """One schedule: work on all of 4 to 7 machines, or of `size`, goes round under faults; in the end all of
+    it is done."""
     random = Random(seed)
     rhythm = Rhythm(period_s=0.3, answer_s=0.1, exchange_s=3.0, again_s=1.0, alpha=2.0, beta=2.0)
     rig = Rig(
         seed,
-        random.randint(4, 7),
+        size or random.randint(4, 7),
         random.choice((3, 3, 5)) if random.random() < 0.3 else 3,
         mistakes,
         rhythm=rhythm,
