A silent watch is opened anew before what it missed counts as told

Excluded: want of CPU, a pause behind a refusal, other processes (the times follow from the settings). Lines: discovery._follow, fail_after(wait + answer_s).

Change: a watch is given up 1 s after its wait, twice asked_before_s before that moment.

The whole suite passes.

--- a/merlintally/net/discovery.py
+++ b/merlintally/net/discovery.py
@@ -90,7 +90,12 @@
                     wait = self.bounds.watch_s
                     target += f"?since={self.version}&timeout_ms={int(wait * 1000)}"
                 self._told_at = anyio.current_time() + (wait + TOLD_AFTER_WAIT_S if wait else TOLD_S)
-                with anyio.fail_after(wait + self.bounds.answer_s):
+                # Guards against a silent watch that is given up after what it missed counts as told already:
+                # the next one needs time to be answered, too.
+                patience = self.bounds.answer_s
+                if wait:
+                    patience = min(patience, TOLD_AFTER_WAIT_S - 2 * self.bounds.asked_before_s)
+                with anyio.fail_after(wait + patience):
                     body = await self._get(stream, connection, target)
                 await self._take(body)
                 # Guards against a drain that counts as told since the node could have asked: after an answer
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -355,6 +355,23 @@
     assert len(asked) >= 3 and set(asked[1:]) == {b"/v1/servers?since=7&timeout_ms=100"}
 
 
+def test_a_silent_watch_is_opened_anew_before_what_it_missed_counts_as_told() -> None:
+    """Two seconds after its wait it does; with three seconds of patience for an answer that was too late."""
+    at, times = server(), list[float]()
+
+    def say(heard: bytes) -> bytes:
+        times.append(anyio.current_time())
+        return listing(at, index=7) if len(times) == 1 else b""
+
+    discovery = Standin(say)
+
+    async def act(scene: Scene) -> None:
+        await anyio.sleep(1.7)
+
+    play(told(discovery=discovery.address, bounds=Bounds(watch_s=0.1, answer_s=3.0)), act, discovery, at)
+    assert len(times) == 3 and times[2] - times[1] < 1.6
+
+
 def refusing(bounds: Bounds) -> tuple[list[bytes], list[float]]:
     """What an overloaded discovery is asked in a second and a half, after one good answer, and the gaps."""
     at, asked, times = server(), list[bytes](), list[float]()
