Read once more: the copies no longer gather rows that nobody reads

Need: Results.changed of the copies was filled with each message and read by nobody, since sums reach the decisions by a list of their own. Change: it is out.

--- a/merlintally/cluster/copies/spread.py
+++ b/merlintally/cluster/copies/spread.py
@@ -53,7 +53,6 @@
 @dataclass(slots=True)
 class Results:
     sends: list[tuple[str, str, tuple[Any, ...]]] = field(default_factory=list)  # to, call, arguments
-    changed: list[Row] = field(default_factory=list)  # rows of others that are new here
     sums: list[tuple[str, float]] = field(default_factory=list)  # customer, units that all others drew by now
     events: list[tuple[str, dict[str, Any]]] = field(default_factory=list)
     wake_at: float = 0.0
@@ -382,7 +381,6 @@
             self._send(sender, "took", told)
         if self.store.refused > refused:
             self.out.events.append(("refused", {"whose": sender}))
-        self.out.changed += taken
         if self.store.suspect:
             self.out.events.append(("differ", {"shards": sorted(self.store.suspect), "whose": sender}))
             for shard in list(self.store.suspect):
