A client that left is seen behind unread bytes; what came whole is not closed away

Change: one wait that reads on (Client._watching); one question, `rests`, for every close of an idle connection; taken submissions of a client that left are marked at once, before word of it waits in the queue; the leave ends 0.4 s after the longest hard limit; a late connection looks up Submission.begin_by and the client before it writes.

--- a/merlintally/choice.py
+++ b/merlintally/choice.py
@@ -293,8 +293,15 @@
         """Rule 2 for a further execution, but for the server it goes to."""
         if not self.risky or self.lane.effect == "harmless":
             return True
-        first = next(iter(self.risky.values()))[1]
-        return self.lane.effect == "stamped" and now - first < self.lane.remembered - MARGIN
+        return self.lane.effect == "stamped" and now < self.begin_by(self.count)
+
+    def begin_by(self, number: int) -> float:
+        """Until when execution `number` may begin, by rules 1 and 2. Guards against a connection that comes
+        up late, and a repeat that goes out on it when it is no longer remembered."""
+        first = min((sent for at, (_, sent) in self.risky.items() if at < number), default=None)
+        if first is None or self.lane.effect != "stamped":
+            return self.ends
+        return min(self.ends, first + self.lane.remembered - MARGIN)
 
 
 class Gateway:
--- a/merlintally/net/clients.py
+++ b/merlintally/net/clients.py
@@ -6,6 +6,8 @@
 import socket
 import traceback
 from collections import deque
+from collections.abc import Awaitable, Callable
+from functools import partial
 
 import anyio
 from anyio.abc import TaskGroup
@@ -37,8 +39,10 @@
         self.clients, self.stream = clients, Stream(sock, clients.held)
         self.due: deque[Due] = deque()
         self.moved_at = clients.clock.now()  # when it last made headway, in either direction
+        self.read_at = self.moved_at  # when something of it was last read
         self.whole_by = self.moved_at + clients.bounds.client_patience_s  # the command that is being read
         self.closing = self.ended = False
+        self.retiring = False  # to be closed as soon as it rests
         self.known = False  # whether it has brought a submission
         self.faults = 0  # since then
         self.unread = 0  # bytes held of answers that it has not read
@@ -48,17 +52,24 @@
     def idle(self) -> bool:
         return not self.due and not self.stream.unsent and self.stream.start == self.stream.end
 
+    @property
+    def rests(self) -> bool:
+        """Whether nothing is owed. Guards against a submission that has come whole and is not read yet when
+        its connection is closed: it counts as taken, and would be lost."""
+        return self.idle and self.stream.quiet()
+
     async def run(self) -> None:
         """Guards against a fault in handling one connection: it ends that one, and no other."""
         try:
             while not self.closing:
                 if not (got := await self.stream.receive()):
                     return
-                self.moved_at = self.clients.clock.now()
+                self.moved_at = self.read_at = self.clients.clock.now()
                 if got == self.stream.end - self.stream.start:
                     self._begins()
                 await self._read_commands()
-                await self.clients.held.room()
+                if self.clients.held.full:
+                    await self._watching(self.clients.held.room)
             await self._linger()
         except Exception:
             self.clients.log.say(f"a client's connection failed: {traceback.format_exc()}", "client.failed")
@@ -71,7 +82,7 @@
         try:
             while not self.closing and stream.start < stream.end:
                 if len(self.due) >= most or stream.unsent:
-                    await self._until_passed()
+                    await self._watching(self._until_passed)
                     continue
                 found = array_at(stream.buffer, stream.start, stream.end)
                 if found is None:
@@ -96,13 +107,13 @@
     def _begins(self) -> None:
         """A command begins to come, and has to be whole in time; the first one, since the connection came."""
         if self.known:
-            self.whole_by = self.moved_at + self.clients.bounds.client_patience_s
+            self.whole_by = self.read_at + self.clients.bounds.client_patience_s
 
     async def _command(self, raw: bytes, words: list[Span]) -> None:
         name, clients = raw[words[0][0]:words[0][1]].upper(), self.clients
         if name in COMMANDS:
             try:
-                taken = Taken(self, raw, words, clients.facts, self.moved_at)
+                taken = Taken(self, raw, words, clients.facts, self.read_at)
             except Malformed as wrong:
                 self.due.append(Due([b"-ERR %b\r\n" % plain(wrong)]))
                 self.pass_on()
@@ -127,15 +138,33 @@
         if self.faults >= self.clients.bounds.faults:
             self.closing = True
             self.pass_on()
-        await anyio.sleep(self.clients.bounds.fault_pause_s)
+        await self._watching(partial(anyio.sleep, self.clients.bounds.fault_pause_s))
+
+    async def _watching(self, wait: Callable[[], Awaitable[None]]) -> None:
+        """Wait, and see it when the client leaves meanwhile. Guards against executions for one that has long
+        gone, whose end stood behind commands that were not read: these are read now, and kept for later."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._read_on, group.cancel_scope)
+            await wait()
+            group.cancel_scope.cancel()
+
+    async def _read_on(self, waiting: anyio.CancelScope) -> None:
+        while not self.stream.overfull:
+            if not (got := await self.stream.receive()):
+                self.ended = self.closing = True
+                waiting.cancel()
+                return
+            self.read_at = self.clients.clock.now()
+            if got == self.stream.end - self.stream.start:
+                self._begins()
 
     async def _linger(self) -> None:
         """Wait for what is owed, then a moment for the other side's end: what it still sends is left unread,
         or the error could be lost with the connection's reset."""
-        while self.due or self.stream.unsent:
-            await self._until_passed()
-            if self.ended:
-                return
+        while (self.due or self.stream.unsent) and not self.ended:
+            await self._watching(self._until_passed)
+        if self.ended:
+            return
         self.stream.start = self.stream.end = 0
         with anyio.move_on_after(self.clients.bounds.linger_s):
             for _ in range(LINGERING):
@@ -170,6 +199,7 @@
                         self.clients.group.start_soon(self._flush)
             except OSError:
                 self.end()
+        self.closing = self.closing or (self.retiring and self.rests)
         if self.closing and not self.due and not self.stream.unsent:
             self.stream.end_sending()
         self._passed.set()
@@ -199,11 +229,10 @@
         self.stream.hang_up()
         self._passed.set()
 
-    def close_soon(self) -> None:
-        """Close between submissions: at once where nothing is open, else when the last is answered."""
-        if self.stream.start == self.stream.end:
-            self.closing = True
-            self.pass_on()
+    def retire(self) -> None:
+        """Close it once it rests: at once, or when the last of what has come is answered."""
+        self.retiring = True
+        self.pass_on()
 
     async def _gone(self) -> None:
         """The client has gone away: whoever owns the decisions is told of all that it waited for."""
@@ -214,12 +243,13 @@
         clients = self.clients
         clients.connections.pop(self, None)
         clients.descriptors.give()
-        owed, self.due = self.due, deque()
-        for due in owed:
-            if isinstance(due, Taken):
-                clients.held.give(due.size)
-                if due.answer is None:
-                    await clients.keeper.post(clients.keeper.left, due)
+        owed, self.due = [due for due in self.due if isinstance(due, Taken)], deque()
+        for taken in owed:
+            taken.gone = True  # guards against sends for it while the word of it waits in a long queue
+            clients.held.give(taken.size)
+        for taken in owed:
+            if taken.answer is None:
+                await clients.keeper.post(clients.keeper.left, taken)
 
 
 class Clients:
@@ -251,9 +281,10 @@
                 self.give_way()
                 await anyio.sleep(self.bounds.again_s)
 
-    def accept_all(self, most: int = 1 << 30) -> OSError | None:
+    def accept_all(self, most: int = 1 << 30, beyond: bool = False) -> OSError | None:
+        """`beyond`: also those for which no descriptors are meant."""
         for _ in range(most):
-            if self.descriptors.full:
+            if self.descriptors.full and not beyond:
                 break
             try:
                 sock, _ = self.listener.accept()
@@ -274,12 +305,15 @@
         the one idle for longest. False if there is none."""
         now, bounds = self.clock.now(), self.bounds
         rows = [(not client.closing, client.known, client.moved_at, number, client)
-                for number, client in enumerate(self.connections) if not client.due and not client.ended
+                for number, client in enumerate(self.connections)
+                if not client.due and not client.stream.unsent and not client.ended
                 and (client.closing or now - client.moved_at > (
                     bounds.client_rest_s if client.known else bounds.client_silent_s))]
-        if rows:
-            min(rows)[-1].end()
-        return bool(rows)
+        for *_, client in sorted(rows):
+            if client.closing or client.stream.quiet():  # else what makes it whole may have come
+                client.end()
+                return True
+        return False
 
     def sweep(self) -> None:
         """Guards against connections held for good: in silence, by a command that never becomes whole,
@@ -292,15 +326,16 @@
                 if still > bounds.client_stall_s:
                     client.end()
             elif not client.due and begun and now > client.whole_by:
-                client.end()
-            elif client.idle and still > bounds.client_idle_s:
-                client.close_soon()
+                if client.stream.quiet():  # else what makes it whole may have come
+                    client.end()
+            elif still > bounds.client_idle_s and client.rests:
+                client.retire()
 
     def stop_listening(self) -> None:
         """Guards against connections lost between the kernel and the node: all that came are taken first."""
-        self.accept_all()
+        self.accept_all(beyond=True)
         self.listener.close()
 
-    def close_soon(self) -> None:
+    def retire(self) -> None:
         for client in list(self.connections):
-            client.close_soon()
+            client.retire()
--- a/merlintally/net/keeper.py
+++ b/merlintally/net/keeper.py
@@ -45,7 +45,7 @@
         self.peers: Noting | None = None
         self.taken: dict[int, Taken] = {}
         self.ids = set[bytes]()  # of those taken
-        self.last_number = 0
+        self.last_number, self.leaving = 0, False
         self.right: Right | None = None  # to take and to send, where nodes settle it among themselves
         self.out: frozenset[str] = frozenset()  # app servers that are taken out for work
         self.shown: dict[str, Listed] | None = None  # as listed, where app servers may be taken out
@@ -95,7 +95,7 @@
     # What comes through the queue.
 
     def take(self, taken: Taken) -> None:
-        may = self.right is None or self.right.may_take()
+        may = not self.leaving and (self.right is None or self.right.may_take())
         if not may or len(self.taken) >= self.most_open:
             self._pass_on(taken, BUSY)
             return
@@ -183,7 +183,7 @@
 
     def end_all(self) -> None:
         """The node has to go: whatever is still open gets the answer that it may have."""
-        now = self.clock.now()
+        now, self.leaving = self.clock.now(), True
         for taken in list(self.taken.values()):
             if taken.handle is not None and not taken.handle.closed:
                 self.gateway.finish(now, taken.handle)
@@ -199,7 +199,8 @@
     def _begin(self, number: int, server: str, time_out: float, now: float) -> None:
         taken = self.taken[number]
         until = min(taken.ends, now + time_out) if time_out else taken.ends
-        execution = Execution(taken, taken.sent, now, until)
+        assert taken.handle is not None, "sent before it was taken"
+        execution = Execution(taken, taken.sent, now, until, taken.handle.begin_by(taken.sent))
         taken.sent += 1
         taken.out[execution.number] = execution
         if self.log.follows:
--- a/merlintally/net/node.py
+++ b/merlintally/net/node.py
@@ -141,11 +141,13 @@
             await anyio.sleep(self.deployment.bounds.again_s)
 
     async def _finish(self, keeper: Keeper, clients: Clients) -> None:
-        """Take nothing new, and answer all that was taken."""
-        bounds = self.deployment.bounds
+        """Take no new connection, and answer all that was taken. It has to be over before the node is killed,
+        which comes the sooner the shorter the hard limits are."""
+        bounds, longest = self.deployment.bounds, max(lane.hard_limit for lane in self.deployment.facts.lanes)
         clients.stop_listening()
         self.phases.enter(Phase.FINISHING)
-        with anyio.move_on_after(max(0.0, bounds.finish_s - bounds.leave_s)):
+        clients.retire()
+        with anyio.move_on_after(min(bounds.finish_s, longest + bounds.finish_beyond_s) - bounds.leave_s):
             await self._until_answered(keeper, clients)
         await keeper.post(keeper.end_all)
         with anyio.move_on_after(bounds.late_s):
@@ -153,10 +155,8 @@
         self.phases.enter(Phase.ENDED)
 
     async def _until_answered(self, keeper: Keeper, clients: Clients) -> None:
-        while keeper.taken or any(not client.idle for client in clients.connections):
-            clients.close_soon()
+        while keeper.taken or clients.connections:
             await anyio.sleep(0.02)
-        clients.close_soon()
 
     async def _sweep(self, clock: Clock, clients: Clients, fleet: Fleet) -> None:
         while True:
--- a/merlintally/net/servers.py
+++ b/merlintally/net/servers.py
@@ -103,7 +103,11 @@
     async def _serve(self) -> None:
         with anyio.fail_after(self.fleet.connect_time_out):
             await connect(self.stream.sock, self.server.address)
-        if self.dead:
+        # Guards against what was decided before and is written now: to one that drains since, for a client
+        # that has left, or a repeat that is no longer remembered.
+        late = self.execution is not None and (
+            self.execution.taken.gone or self.fleet.clock.now() >= self.execution.begin_by)
+        if self.dead or late:
             return
         self.connected = True
         if self.execution is None:  # called off while it connected: the next one may use it
@@ -219,7 +223,7 @@
         if server is None or server.presence != "on":
             return False
         while (link := self._rested(server)) is not None:
-            if not link.dead and link.stream.alive():  # guards against one that its server has closed
+            if not link.dead and link.stream.quiet():  # guards against one that its server has closed
                 link.begin(execution)
                 return True
             link.end()
--- a/merlintally/net/sockets.py
+++ b/merlintally/net/sockets.py
@@ -64,7 +64,7 @@
     beyond its first size is held from an allowance; one that `waits` grows only when that has room."""
 
     def __init__(self, sock: socket.socket, held: Allowance | None = None, waits: bool = True) -> None:
-        self.sock, self.closed = sock, False
+        self.sock, self.closed, self.was_reset = sock, False, False
         self.held, self.waits = held or Allowance(MOST_SIZE), waits
         self.buffer, self.start, self.end = bytearray(FIRST_SIZE), 0, 0
         self.unsent: list[Buffer] = []
@@ -84,6 +84,7 @@
             except (BlockingIOError, InterruptedError):
                 continue
             except OSError:
+                self.was_reset = True
                 return 0
             self.end += got
             return got
@@ -108,7 +109,7 @@
 
     @property
     def overfull(self) -> bool:
-        return self.start == 0 and self.end >= MOST_SIZE
+        return self.end - self.start >= MOST_SIZE
 
     def write(self, buffers: Sequence[Buffer]) -> bool:
         """Write at once what can be; whether nothing is left, else `flush` has to follow."""
@@ -121,8 +122,8 @@
             if not self.closed:
                 self.unsent = gather(self.sock, self.unsent)
 
-    def alive(self) -> bool:
-        """Whether an idle connection still stands: the other side has neither ended nor said anything."""
+    def quiet(self) -> bool:
+        """Whether nothing waits unread: the other side has neither ended, nor said anything more."""
         try:
             self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
         except (BlockingIOError, InterruptedError):
--- a/merlintally/net/taken.py
+++ b/merlintally/net/taken.py
@@ -94,10 +94,11 @@
 class Execution:
     """One execution of a submission at an app server."""
 
-    __slots__ = ("taken", "number", "began", "until", "link", "written", "answered", "over")
+    __slots__ = ("taken", "number", "began", "until", "begin_by", "link", "written", "answered", "over")
 
-    def __init__(self, taken: Taken, number: int, began: float, until: float) -> None:
+    def __init__(self, taken: Taken, number: int, began: float, until: float, begin_by: float) -> None:
         self.taken, self.number, self.began, self.until = taken, number, began, until
+        self.begin_by = begin_by  # it is not written later, whenever its connection comes up
         self.link: object = None  # the connection that carries it, which is for who carries it alone
         self.written = False  # its last byte is written: from then on it may have run
         self.answered = False  # its end is on its way to the owner of the decisions
