--- a/merlintally/net/clients.py
+++ b/merlintally/net/clients.py
@@ -52,6 +52,11 @@
     def idle(self) -> bool:
         return not self.due and not self.stream.unsent and self.stream.start == self.stream.end
 
+    @property
+    def finished(self) -> bool:
+        """Whether all that it was owed is written, and the end behind it."""
+        return self.closing and not self.due and not self.stream.unsent
+
     @property
     def rests(self) -> bool:
         """Whether nothing is owed. Guards against a submission that has come whole and is not read yet when
@@ -200,7 +205,7 @@
             except OSError:
                 self.end()
         self.closing = self.closing or (self.retiring and self.rests)
-        if self.closing and not self.due and not self.stream.unsent:
+        if self.finished:
             self.stream.end_sending()
         self._passed.set()
 
--- a/merlintally/net/node.py
+++ b/merlintally/net/node.py
@@ -152,10 +152,14 @@
         await keeper.post(keeper.end_all)
         with anyio.move_on_after(bounds.late_s):
             await self._until_answered(keeper, clients)
+        # Guards against last answers lost with a reset: what clients still sent is read before all closes.
+        with anyio.move_on_after(min(bounds.linger_s, bounds.late_s)):
+            while clients.connections:
+                await anyio.sleep(0.02)
         self.phases.enter(Phase.ENDED)
 
     async def _until_answered(self, keeper: Keeper, clients: Clients) -> None:
-        while keeper.taken or clients.connections:
+        while keeper.taken or any(not client.finished for client in clients.connections):
             await anyio.sleep(0.02)
 
     async def _sweep(self, clock: Clock, clients: Clients, fleet: Fleet) -> None:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -140,6 +140,17 @@
     assert heard == [HI, b"", HI] and len(at.heard) == 2
 
 
+def test_a_client_that_keeps_its_end_open_does_not_hold_up_the_leave() -> None:
+    async def act(scene: Scene) -> None:
+        deaf = await scene.connect()
+        scene.node.leave()
+        with anyio.fail_after(1.5):
+            await scene.node.phases.reached(Phase.ENDED)
+        deaf.close()
+
+    play(told(bounds=Bounds(leave_s=0.05)), act)
+
+
 def test_a_submission_read_after_all_has_ended_is_bounced_and_never_sent() -> None:
     """Sends of what came on connections still open went out with nobody left to hand on the answer."""
     keeper = Keeper(told(), Clock(), Log("n", 9.0))
