--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -186,10 +186,13 @@
         half = await scene.connect()
         half.sendall(said()[:9])
         scene.node.leave()
-        with anyio.fail_after(0.2 + 0.7):
+        with anyio.fail_after(2.0):
             await scene.node.phases.reached(Phase.ENDED)
         half.close()
 
+    bounds = deployment.bounds
+    assert bounds.finish_beyond_s + bounds.late_s + min(bounds.linger_s, bounds.late_s) < 0.7
+
     play(replace(deployment, facts=replace(deployment.facts, lanes=lanes)), act)
 
 
