What is open is ended with no more read; a connection about to be closed is not used

Seen: on reading. A client that had begun one more command, or goes on sending after SIGTERM, was cut off with the process over what it had sent (a reset, which takes small answers along). A start with no drains' grace did not wait for discovery at all. Lines: node._finish; servers._rested; node._serve. Result: two tests that fail without it (the EOF came in phase ENDED; the connection was taken).

--- a/merlintally/net/clients.py
+++ b/merlintally/net/clients.py
@@ -344,3 +344,10 @@
     def retire(self) -> None:
         for client in list(self.connections):
             client.retire()
+
+    def read_no_more(self) -> None:
+        """Guards against submissions that come on until the process ends, and are lost with it: what is not
+        read when its connection closes is sent again elsewhere."""
+        for client in list(self.connections):
+            client.closing = True
+            client.pass_on()
--- a/merlintally/net/node.py
+++ b/merlintally/net/node.py
@@ -119,7 +119,7 @@
                 group.start_soon(self._lasting, task)
             # Guards against sends right after a start to what drained meanwhile: what discovery has counts as
             # told from the first moment on, and the list that a node is started with may be old.
-            with anyio.move_on_after(told.facts.drain_grace):
+            with anyio.move_on_after(max(told.facts.drain_grace, bounds.again_s)):
                 await discovery.first.wait()
             self.phases.enter(Phase.SERVING)
             task_status.started()
@@ -149,6 +149,7 @@
         clients.retire()
         with anyio.move_on_after(min(bounds.finish_s, longest + bounds.finish_beyond_s) - bounds.leave_s):
             await self._until_answered(keeper, clients)
+        clients.read_no_more()
         await keeper.post(keeper.end_all)
         with anyio.move_on_after(bounds.late_s):
             await self._until_answered(keeper, clients)
--- a/merlintally/net/servers.py
+++ b/merlintally/net/servers.py
@@ -241,11 +241,15 @@
         return True
 
     def _rested(self, server: Server) -> Link | None:
-        """The last used of those idle, but for any that has only just answered. Guards against noise or one
-        more copy right behind an answer, taken for the next one, and against a close that crosses it."""
-        before = self.clock.now() - self.rest_s
+        """The last used of those idle, but for any that has only just answered or is to be retired. Guards
+        against noise or one more copy right behind an answer, taken for the next one, and against a close
+        that crosses it: where servers close soon, that comes between two sweeps."""
+        now = self.clock.now()
         for at in range(len(server.idle) - 1, -1, -1):
-            if server.idle[at].idle_since <= before:
+            rest = now - server.idle[at].idle_since
+            if rest > self.retire_after:
+                break
+            if rest >= self.rest_s:
                 return server.idle.pop(at)
         return None
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -151,6 +151,24 @@
     play(told(bounds=Bounds(leave_s=0.05)), act)
 
 
+def test_nothing_is_read_any_more_when_what_is_open_is_ended() -> None:
+    """A client that had begun one more command was cut off only with the process, over what it still sent."""
+    at, heard, phases = silent(), list[bytes](), list[Phase]()
+
+    async def act(scene: Scene) -> None:
+        sock = await scene.connect()
+        sock.sendall(said())
+        await until(lambda: bool(at.heard))
+        sock.sendall(said()[:40])
+        scene.node.leave()
+        heard.append(await scene.hear(sock))
+        phases.append(scene.node.phases.current)
+        sock.close()
+
+    play(told(known=known(at), bounds=Bounds(leave_s=0.05, finish_s=0.2)), act, at)
+    assert heard[0].startswith(b"-BUSY") and phases == [Phase.FINISHING] and len(at.heard) == 1
+
+
 def test_a_submission_read_after_all_has_ended_is_bounced_and_never_sent() -> None:
     """Sends of what came on connections still open went out with nobody left to hand on the answer."""
     keeper = Keeper(told(), Clock(), Log("n", 9.0))
@@ -224,3 +242,16 @@
     anyio.run(act)
     at.sock.close()
     assert keeper.post.call_args.args[-1].outcome == "unreachable" and not at.heard
+
+
+def test_a_connection_that_its_server_is_about_to_close_is_not_used_between_two_sweeps() -> None:
+    """With servers that close after a second, one was written to 0.1 s before: what crosses may have run."""
+    at, clock = silent(), Clock()
+    deployment = told(known=known(at), idle_close=1.0)
+    fleet = Fleet(deployment, Mock(), clock, Log("n", 9.0), Mock(), Allowance(9), Allowance(1 << 20))
+    fleet.roster(deployment.known, True)
+    links = [Mock(idle_since=clock.now() - ago) for ago in (0.9, 0.3, 0.001)]
+    fleet.servers["s0"].idle.extend(links)
+    assert fleet._rested(fleet.servers["s0"]) is links[1]
+    assert fleet._rested(fleet.servers["s0"]) is None
+    at.sock.close()
