News of a customer take the place of the credit that hundreds of gateways gave it unheard

Lines: Customer.inside lets in by `granted` where news are older than 0.3 s, also where they told of an empty store; `granted` starts at one unit and holds two at each gateway, hundreds for a store of 2.4 units.

Change: at each news the credit is at most the gateway's even part of the burst, or half a second of its common rate. A test that fails without it. A small margin: first sights while calls are short are let in as before, which is most of it.

--- a/merlintally/choice.py
+++ b/merlintally/choice.py
@@ -160,6 +160,8 @@
         """Take the count after `added`: the store lacks it, less what flowed back in this epoch."""
         self.advance(now)
         since, burst, used = now - self.heard, self.plan.burst, total - self.total - added
+        # Guards against hundreds of gateways that each let one more in by their credit, where it is empty.
+        self.granted = min(self.granted, max(burst / self.gateways, self.common * 0.5))
         level, self.heard = total - self.plan.rate * self.epoch(now)[1], now
         lacking = burst - self.store if since < STALE else min(added, burst - self.store)  # old: no debt
         if added > 0 and total <= added * 1.000001:  # guards against one begun anew: put at what is known
--- a/tests/test_throttler.py
+++ b/tests/test_throttler.py
@@ -55,6 +55,15 @@
     assert not one.inside(1.0, 100.1) and one.inside(1.0, 101.0)
 
 
+def test_news_take_the_place_of_the_first_credit_where_gateways_are_many() -> None:
+    """With 150 of them each let one unit more in, for a store of eight that was heard to be empty."""
+    one = customer(gateways=150)
+    one.heard = 0.0
+    assert one.inside(1.0, 100.0)
+    one.news(PLAN.rate * one.epoch(100.0)[1] + 9.0, 0.0, 100.0)
+    assert not one.inside(1.0, 100.1) and not one.inside(1.0, 100.4)
+
+
 def test_news_set_the_store_to_what_all_have_left() -> None:
     one = customer()
     one.news(PLAN.rate * one.epoch(100.0)[1] + 5.0, 0.0, 100.0)
