The log says which client's connection was closed and why, and whose datagrams are dropped

Need: the rare moments ask for one rate-limited line that says who and what for each spoilt, half or flooding connection.

--- a/merlintally/net/clients.py
+++ b/merlintally/net/clients.py
@@ -48,6 +48,14 @@
         self.unread = 0  # bytes held of answers that it has not read
         self._passed = anyio.Event()
 
+    @property
+    def who(self) -> str:
+        """Where it comes from, for a line in the log."""
+        try:
+            return ":".join(str(part) for part in self.stream.sock.getpeername())
+        except OSError:
+            return "one that has gone"
+
     @property
     def idle(self) -> bool:
         return not self.due and not self.stream.unsent and self.stream.start == self.stream.end
@@ -77,7 +85,7 @@
                     await self._watching(self.clients.held.room)
             await self._linger()
         except Exception:
-            self.clients.log.say(f"a client's connection failed: {traceback.format_exc()}", "client.failed")
+            self.clients.log.say(f"client {self.who}: {traceback.format_exc()}", "client.failed")
         finally:
             await self._gone()
 
@@ -104,7 +112,7 @@
                     words = [(one[0] - first, one[1] - first) for one in spans if one is not None]
                     await self._command(raw, words if len(words) == len(spans) else [(0, 0)])
         except Malformed as wrong:  # the framing is lost: answer what was taken before, and close
-            self.clients.log.say(f"a client's connection is closed: {wrong}", "client.closed")
+            self.clients.log.say(f"client {self.who}: {wrong}; its connection is closed", "client.closed")
             self.due.append(Due([b"-ERR Protocol error: %b\r\n" % plain(wrong)]))
             self.closing = True
             self.pass_on()
@@ -140,7 +148,9 @@
         """Guards against one that sends the same again as soon as it is turned away, and takes the CPU that
         others need: it is answered at once, and read again a little later; after some faults it is closed."""
         self.faults += 1
-        if self.faults >= self.clients.bounds.faults:
+        if self.faults >= self.clients.bounds.faults and not self.closing:
+            self.clients.log.say(f"client {self.who}: {self.faults} commands in a row can't be taken; its "
+                                 "connection is closed", "client.closed")
             self.closing = True
             self.pass_on()
         await self._watching(partial(anyio.sleep, self.clients.bounds.fault_pause_s))
@@ -332,6 +342,8 @@
                     client.end()
             elif not client.due and begun and now > client.whole_by:
                 if client.stream.quiet():  # else what makes it whole may have come
+                    self.log.say(f"client {client.who}: no whole command in time; its connection is closed",
+                                 "client.closed")
                     client.end()
             elif still > bounds.client_idle_s and client.rests:
                 client.retire()
--- a/merlintally/net/peers.py
+++ b/merlintally/net/peers.py
@@ -37,5 +37,8 @@
             except OSError:
                 continue
             number = self.numbers.get(sender)
-            if number is not None and len(payload) <= MOST:  # anything else is dropped
+            if number is not None and len(payload) <= MOST:
                 await self.keeper.post(self.keeper.noted, number, payload)
+            else:
+                told = f"{len(payload)} bytes or more from {sender[0]}:{sender[1]}"
+                self.log.say(f"a datagram of {told} is dropped", "note.dropped")
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -131,7 +131,8 @@
 
     log = play(told(known=known(at)), act, at)
     assert heard[0].startswith(b"$2\r\nhi\r\n-ERR Protocol error") and heard[0].count(b"\r\n") == 3
-    assert heard[1].startswith(b"-ERR Protocol") and heard[2] == b"+PONG\r\n" and "closed" in log
+    assert heard[1].startswith(b"-ERR Protocol") and heard[2] == b"+PONG\r\n"
+    assert log.count("n: client 127.0.0.1:") == log.count("; its connection is closed") == 2
     assert b"".join(at.heard).count(b"Q.ASK") == 1
 
 
@@ -176,7 +177,8 @@
             with anyio.fail_after(0.1):
                 await scene.hear(sock)
 
-    play(told(known=known(at), bounds=bounds), act, at)
+    log = play(told(known=known(at), bounds=bounds), act, at)
+    assert log.count("no whole command in time") == 4 and "client 127.0.0.1:" in log
 
 
 def test_one_that_repeats_what_is_turned_away_is_slowed_and_closed() -> None:
@@ -192,7 +194,8 @@
         heard.append(await scene.ask(said(terms=b"c=nap") * 300, until=0))
         assert anyio.current_time() - began > 0.12
 
-    play(told(bounds=Bounds(faults=8, fault_pause_s=0.02)), act)
+    log = play(told(bounds=Bounds(faults=8, fault_pause_s=0.02)), act)
+    assert log.count("8 commands in a row can't be taken") == 3
     assert heard[0].startswith(b"-ERR") and heard[1].count(b"-ERR") == 8
 
 
@@ -653,7 +656,7 @@
         await anyio.sleep(0.1)
 
     with patch.object(Gateway, "noted", lambda self, now, peer, payload: noted.append((peer, payload))):
-        play(told(peer_listen=("127.0.0.1", 0), peers=(("127.0.0.1", 9), ours.getsockname())), act)
+        log = play(told(peer_listen=("127.0.0.1", 0), peers=(("127.0.0.1", 9), ours.getsockname())), act)
     ours.close()
     stranger.close()
-    assert noted == [(1, b"a" * 256), (1, b"d")]
+    assert noted == [(1, b"a" * 256), (1, b"d")] and log.count("is dropped") == 2
