First sights that can't be asked are let in as far as first news tell of room

Checked: calls without an answer, turned away, by second; both counters are at their capacity (720 and 1000 calls a second for 2400 tries), so that over half are decided unasked. Lines: Customer.granted starts at one unit at each gateway, whatever the plan's use beyond costs and whatever news of other customers say.

Change: where use beyond costs, a customer seen for the first time has its credit by chance: one, less four times the share of first news of its plan that told of an empty store, the even part at the least. Learnt at each gateway from its own news.

--- a/merlintally/choice.py
+++ b/merlintally/choice.py
@@ -34,6 +34,7 @@
 JUDGED = 0.8  # the quantile of answer times by which servers are compared
 CREDIT = (2.0, 0.12)  # further executions a server may get: at most, and earned with each good answer
 PATIENCE = 15.0  # mean answer times, divided by how slow the server is found, until an execution is timed out
+EMPTY = (0.15, 4.0)  # weight of one first news in the share that tells of empty stores; what that takes off
 COLD_SAFETY = 0.5  # part of the stated budget of a cold server that is used
 LOOKED_AT, MARGIN = 16, 0.03  # pieces passed over in a line; seconds before a hard limit without a new one
 TICK = (0.03, 0.1, 0.5)  # seconds between wake-ups while anything waits, while submissions are open, and else
@@ -317,6 +318,7 @@
         self.servers, self.open = dict[str, AppServer](), dict[int, Submission]()
         self.asking = dict[int, Customer]()  # by the count that they wait for
         self.missed = dict[int, tuple[Customer, float, float]]()  # by count: adds without an answer in time
+        self.empty = dict[str, float]()  # by plan: the share of first news with an empty store
         self.last = Lane(LaneFacts("", 1, 1, 0, 0, "one-shot", "cell", 0))  # unknown lanes; beyond the quota
         order = [*sorted(self.lanes.values(), key=lambda lane: -lane.gain), self.last]
         self.lines = {lane: deque[Submission]() for lane in order}  # served in this order
@@ -336,6 +338,11 @@
             plan, gateways = self.plans.get(plan_name, NO_QUOTA), max(1, gateways or self.facts.gateways)
             customer = self.customers[key] = Customer(key, plan, gateways, now, now - self.started)
             self.marks[customer.mark] = customer
+            # Guards against hundreds of gateways that each let one in unasked where use beyond costs: the
+            # more first news tell of empty stores, the fewer, down to the even part.
+            likely = max(plan.burst / gateways, 1 - EMPTY[1] * self.empty.get(plan_name, 0.0))
+            if not customer.soft and self.random.random() >= likely:
+                customer.granted = plan.burst / gateways
         customer.sure = self._hears_all(now)
         handle = Submission(self, submission, lane, customer, units, now, time_left)
         self.open[submission] = handle
@@ -363,9 +370,12 @@
         customer = self.asking.pop(name, None)
         if customer is None or customer.asked is None:
             return
-        added, customer.asked = customer.asked, None
+        added, customer.asked, first = customer.asked, None, now - customer.heard >= KEEP
         if outcome == "ok":
             customer.news(total, added, now)
+            if first:
+                empty = self.empty.get(customer.plan.name, 0.0)
+                self.empty[customer.plan.name] = empty + ((customer.spare < 0) - empty) * EMPTY[0]
             self.pace = min(PACE, self.pace * (PACES[1] if elapsed > self.crowded else PACES[2]))
         else:  # an add without an answer may have counted and is not told again
             self.pace *= PACES[0] if outcome != "timed_out" or elapsed > self.crowded else 1
--- a/tests/test_throttler.py
+++ b/tests/test_throttler.py
@@ -275,3 +275,21 @@
     assert not handle.closed and at.results.adds[-1][1] == 2.0
     at.counted(100.0, name, "ok", PLAN.rate * passed + PLAN.burst + 2.0, 0.001)
     assert handle.closed and [amount for _, amount, _ in at.results.adds] == [2.0, pytest.approx(-2.0)]
+
+
+@pytest.mark.parametrize("drawn, least, most", [(0.0, 200, 200), (99.0, 0, 30)], ids=["full", "empty"])
+def test_first_sights_are_let_in_unasked_as_far_as_first_news_tell_of_room(
+        drawn: float, least: int, most: int) -> None:
+    """Of hundreds of gateways each let one in where it could not ask, a fifth of all units beyond quotas."""
+    at = gateway(gateways=150, may_count=True, plan=replace(PLAN, ceiling_rate=0.0, beyond_cost=1.0))
+    for number in range(60):
+        at.pace = at.calls = 9.0
+        at.take(100.0, number, "lane", f"asked{number}", "plan", 4.0, 1.0, 150)
+        (name, one), = at.asking.items()
+        at.counted(100.0, name, "ok", one.epoch(100.0)[1] * PLAN.rate + drawn + (one.asked or 0.0), 0.001)
+        at.asking.clear()
+    at.calls, at.pace, at.paced_at, let_in = 0.0, 0.0, 100.0, 0
+    for number in range(200):
+        at.lines[at.lanes["lane"]].clear()  # nobody is refused for the line
+        let_in += not at.take(100.0, 1000 + number, "lane", f"new{number}", "plan", 4.0, 1.0, 150).closed
+    assert least <= let_in <= most
