--- a/merlintally/net/clients.py
+++ b/merlintally/net/clients.py
@@ -56,10 +56,6 @@
         except OSError:
             return "one that has gone"
 
-    @property
-    def idle(self) -> bool:
-        return not self.due and not self.stream.unsent and self.stream.start == self.stream.end
-
     @property
     def finished(self) -> bool:
         """Whether all that it was owed is written, and the end behind it."""
@@ -69,7 +65,8 @@
     def rests(self) -> bool:
         """Whether nothing is owed. Guards against a submission that has come whole and is not read yet when
         its connection is closed: it counts as taken, and would be lost."""
-        return self.idle and self.stream.quiet()
+        stream = self.stream
+        return not self.due and not stream.unsent and stream.start == stream.end and stream.quiet()
 
     async def run(self) -> None:
         """Guards against a fault in handling one connection: it ends that one, and no other."""
@@ -341,7 +338,7 @@
                 if still > bounds.client_stall_s:
                     client.end()
             elif not client.due and begun and now > client.whole_by:
-                if client.stream.quiet():  # else what makes it whole may have come
+                if stream.quiet():  # else what makes it whole may have come
                     self.log.say(f"client {client.who}: no whole command in time; its connection is closed",
                                  "client.closed")
                     client.end()
