--- a/example/client.py
+++ b/example/client.py
@@ -1,6 +1,6 @@
 """Sends a customer's submissions to the node of example/config.json one by one, and prints the answers.
 
-    python example/client.py [HOW_MANY]
+python example/client.py [HOW_MANY]
 """
 
 from __future__ import annotations
--- a/example/three_nodes.py
+++ b/example/three_nodes.py
@@ -77,15 +77,20 @@
         write(at, name)
     nodes = {name: start(name) for name in NAMES}
     try:
-        rows = "".join(f'[[machine]]\nname = "m{at}"\npool = "edge"\nzone = "a"\nedges = ["{name}"]\n'
-                       for at, name in enumerate(NAMES))
+        rows = "".join(
+            f'[[machine]]\nname = "m{at}"\npool = "edge"\nzone = "a"\nedges = ["{name}"]\n'
+            for at, name in enumerate(NAMES)
+        )
         (FOLDER / "machines.toml").write_text(rows)
         operators = str(FOLDER / "n0" / "operators.toml")
         while run("work", "machines", "--operators", operators, str(FOLDER / "machines.toml")).wait():
             time.sleep(0.5)
-        print("three nodes are up; take them out one by one:\n"
-              f"    merlintally work roll --operators {operators} --reason kernel -- "
-              "python example/three_nodes.py restart {}", flush=True)
+        print(
+            "three nodes are up; take them out one by one:\n"
+            f"    merlintally work roll --operators {operators} --reason kernel -- "
+            "python example/three_nodes.py restart {}",
+            flush=True,
+        )
         while True:
             for name, process in nodes.items():
                 if process.poll() is not None:
--- a/example/toy_server.py
+++ b/example/toy_server.py
@@ -42,8 +42,19 @@
 
 async def discovery(reader: StreamReader, writer: StreamWriter) -> None:
     """The whole list, which never changes: a watch waits for its time and gets no entries."""
-    entries = [{"name": f"s{at}", "address": f"{HOST}:{port}", "zone": "a", "type": "toy", "group": 0,
-                "status": "SERVING", "weight": 1.0, "since_ms": 0} for at, port in enumerate(APP_PORTS)]
+    entries = [
+        {
+            "name": f"s{at}",
+            "address": f"{HOST}:{port}",
+            "zone": "a",
+            "type": "toy",
+            "group": 0,
+            "status": "SERVING",
+            "weight": 1.0,
+            "since_ms": 0,
+        }
+        for at, port in enumerate(APP_PORTS)
+    ]
     while line := await reader.readline():
         while (await reader.readline()).strip():
             pass
@@ -53,8 +64,10 @@
             await asyncio.sleep(int(target.split("timeout_ms=")[1]) / 1000)
         page = {"index": 1, "snapshot": not watched, "endpoints": [] if watched else entries}
         body = json.dumps(page).encode()
-        writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%b"
-                     % (len(body), body))
+        writer.write(
+            b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%b"
+            % (len(body), body)
+        )
     writer.close()
 
 
@@ -75,8 +88,10 @@
 
 
 async def main() -> None:
-    servers = [await asyncio.start_server(partial(app_server, f"s{at}"), HOST, port)
-               for at, port in enumerate(APP_PORTS)]
+    servers = [
+        await asyncio.start_server(partial(app_server, f"s{at}"), HOST, port)
+        for at, port in enumerate(APP_PORTS)
+    ]
     servers.append(await asyncio.start_server(discovery, HOST, DISCOVERY_PORT))
     servers.append(await asyncio.start_server(partial(counter, {}), HOST, COUNTER_PORT))
     print("two app servers, discovery and the counter are up; interrupt to end")
--- a/merlintally/benchlink/codec.py
+++ b/merlintally/benchlink/codec.py
@@ -12,8 +12,14 @@
 from merlintally.interface import CounterOutcome, Outcome, Presence, Results, ServerFacts
 
 OUTCOMES: dict[str, Outcome] = {
-    "0": "ok", "13": "error", "8": "full", "4": "timed_out",
-    "14": "unreachable", "10": "broken", "1": "withdrawn", "9": "moot",
+    "0": "ok",
+    "13": "error",
+    "8": "full",
+    "4": "timed_out",
+    "14": "unreachable",
+    "10": "broken",
+    "1": "withdrawn",
+    "9": "moot",
 }
 PRESENCES: dict[str, Presence] = {"on": "on", "fading": "draining", "off": "gone"}
 ROSTER_MODES = {"D", "F", "C", "X"}
@@ -59,9 +65,14 @@
     def submit(self, now: float, fields: Fields) -> None:
         submission = whole(fields, "req")
         handle = self.gateway.take(
-            now, submission, text(fields, "priority"), text(fields, "userKey"),
-            text(fields, "gradeOfService"), number(fields, "timeLeftS"),
-            number(fields, "units", 1.0), whole(fields, "spread", 0),
+            now,
+            submission,
+            text(fields, "priority"),
+            text(fields, "userKey"),
+            text(fields, "gradeOfService"),
+            number(fields, "timeLeftS"),
+            number(fields, "units", 1.0),
+            whole(fields, "spread", 0),
         )
         if not handle.settled:
             self.handles[submission] = handle
@@ -80,8 +91,13 @@
             except ValueError:
                 raise Malformed(f"report is not a row of numbers: {fields['report']!r}") from None
         handle.ended(
-            now, whole(fields, "attempt"), code, number(fields, "elapsedS", 0.0),
-            truth(fields, "over"), number(fields, "actual", 0.0), report,
+            now,
+            whole(fields, "attempt"),
+            code,
+            number(fields, "elapsedS", 0.0),
+            truth(fields, "over"),
+            number(fields, "actual", 0.0),
+            report,
         )
         if handle.settled:
             del self.handles[submission]
@@ -102,8 +118,11 @@
     def counted(self, now: float, fields: Fields) -> None:
         outcome = known(OUTCOMES, text(fields, "code"), "code")
         self.gateway.counted(
-            now, whole(fields, "counter"), cast(CounterOutcome, outcome),
-            number(fields, "resultValue", 0.0), number(fields, "elapsedS", 0.0),
+            now,
+            whole(fields, "counter"),
+            cast(CounterOutcome, outcome),
+            number(fields, "resultValue", 0.0),
+            number(fields, "elapsedS", 0.0),
         )
 
     def note(self, now: float, fields: Fields) -> None:
--- a/merlintally/choice.py
+++ b/merlintally/choice.py
@@ -13,7 +13,15 @@
 from statistics import median
 
 from merlintally.interface import (
-    CounterOutcome, LaneFacts, LoadReport, Outcome, PlanFacts, Results, ServerFacts, StartFacts)
+    CounterOutcome,
+    LaneFacts,
+    LoadReport,
+    Outcome,
+    PlanFacts,
+    Results,
+    ServerFacts,
+    StartFacts,
+)
 from merlintally.naming import count_name, phase
 from merlintally.notes import ROW, told, unpack
 from merlintally.ring import Ring, SampleRing
@@ -214,8 +222,17 @@
         """Whether a connection stands idle here. Guards against handshakes, paid for over the whole fleet."""
         return self.spare > 0 and now - self.answered_at < FAMILIAR
 
-    def answered(self, now: float, lane: Lane, outcome: Outcome, elapsed: float, units: float,
-                 report: LoadReport | None, growth: float, strain: float | None = None) -> None:
+    def answered(
+        self,
+        now: float,
+        lane: Lane,
+        outcome: Outcome,
+        elapsed: float,
+        units: float,
+        report: LoadReport | None,
+        growth: float,
+        strain: float | None = None,
+    ) -> None:
         """Guards against fast failures that attract work, and dead servers: the more fail, the more rest."""
         if report and "waiting" in report:
             self.waiting, self.waiting_at = report["waiting"], now
@@ -244,8 +261,16 @@
 class Submission:
     """The handle of one taken submission."""
 
-    def __init__(self, gateway: Gateway, submission: int, lane: Lane, customer: Customer, units: float,
-                 now: float, time_left: float) -> None:
+    def __init__(
+        self,
+        gateway: Gateway,
+        submission: int,
+        lane: Lane,
+        customer: Customer,
+        units: float,
+        now: float,
+        time_left: float,
+    ) -> None:
         self.gateway, self.id, self.lane, self.customer = gateway, submission, lane, customer
         self.units, self.count, self.taken, self.ends = units, 0, now, now + time_left - MARGIN
         self.useful = min(now + lane.quoted_time - min(2 * lane.mean, 0.6 * lane.quoted_time), self.ends)
@@ -257,8 +282,16 @@
     def settled(self) -> bool:
         return self.closed and not self.out
 
-    def ended(self, now: float, number: int, outcome: Outcome, elapsed: float, over: bool,
-              actual: float = 0.0, report: LoadReport | None = None) -> None:
+    def ended(
+        self,
+        now: float,
+        number: int,
+        outcome: Outcome,
+        elapsed: float,
+        over: bool,
+        actual: float = 0.0,
+        report: LoadReport | None = None,
+    ) -> None:
         if (server := self.out.pop(number, None)) is None:
             return
         gateway = self.gateway
@@ -282,7 +315,8 @@
             gateway.again(now, self)
         gateway.pull(now)
 
-    def begun(self, now: float, number: int) -> None: self.streaming = True
+    def begun(self, now: float, number: int) -> None:
+        self.streaming = True
 
     def left(self, now: float) -> None:
         if not self.closed:
@@ -330,8 +364,17 @@
         self.noting = facts.may_note and 0 < facts.note_price * others * ROW.size / 256 < facts.count_price
         self.note_every, self.noted_at = max(NOTES[0], others / NOTES[1]), now
 
-    def take(self, now: float, submission: int, lane_name: str, key: str, plan_name: str, time_left: float,
-             units: float, gateways: int) -> Submission:
+    def take(
+        self,
+        now: float,
+        submission: int,
+        lane_name: str,
+        key: str,
+        plan_name: str,
+        time_left: float,
+        units: float,
+        gateways: int,
+    ) -> Submission:
         """Take a submission: admit it to the line, or refuse it at once."""
         lane = self.lanes.get(lane_name, self.last)
         if (customer := self.customers.get(key)) is None:
--- a/merlintally/cluster/core.py
+++ b/merlintally/cluster/core.py
@@ -151,9 +151,7 @@
         edge, terms = self.edge, self.plan.terms
         leased = now < edge.until + terms.lease_s
         knows = edge.caught_up and not edge.said_gone
-        return share_of(
-            self.work.parts, customer, self.me.name, terms.even, leased, knows, self.mistakes
-        )
+        return share_of(self.work.parts, customer, self.me.name, terms.even, leased, knows, self.mistakes)
 
     @property
     def leads(self) -> bool:
@@ -666,9 +664,7 @@
     def _busy(self) -> set[str]:
         """Nodes whose machines have a turn."""
         work = self.work
-        return {
-            edge for name in work.turns if name in work.machines for edge in work.machines[name].edges
-        }
+        return {edge for name in work.turns if name in work.machines for edge in work.machines[name].edges}
 
     def _promote(self) -> None:
         """A learner that has all there is votes from now on."""
--- a/merlintally/cluster/node.py
+++ b/merlintally/cluster/node.py
@@ -48,9 +48,7 @@
         Pace(heartbeat_s=part.heartbeat_s, election_s=part.election_s),
         Rhythm(period_s=part.period_s, answer_s=0.3 * part.period_s),
         Terms(part.lease_s, part.renew_s, part.drift_share, part.warm_s, part.longest_s),
-        CopyTerms(
-            part.copies, part.copy_bytes_s, cold_after_s=part.copy_cold_s, forget_s=part.copy_forget_s
-        )
+        CopyTerms(part.copies, part.copy_bytes_s, cold_after_s=part.copy_cold_s, forget_s=part.copy_forget_s)
         if part.copies
         else None,
     )
--- a/merlintally/cluster/work/coordinator.py
+++ b/merlintally/cluster/work/coordinator.py
@@ -157,8 +157,10 @@
         refuge, listed = any(one.refuge for one in work.machines.values()), work.edges()
         for node in self._nodes(work):
             heard = self.heard.get(node)
-            if heard is not None and heard.report.acts_on >= turn.called_at or self._gone(
-                work, node, machine
+            if (
+                heard is not None
+                and heard.report.acts_on >= turn.called_at
+                or self._gone(work, node, machine)
             ):
                 continue
             if heard is not None and node not in listed and heard.report.acts_on >= work.listed_at:
@@ -172,9 +174,7 @@
         """A voter that was lost since the call counts, too."""
         if not seen.voters & set(machine.edges) or "voters are not counted" in self.mistakes:
             return ""
-        return work.too_few_voters(
-            work.beyond_call() | seen.lost | {machine.name}, seen.voters, seen.blank
-        )
+        return work.too_few_voters(work.beyond_call() | seen.lost | {machine.name}, seen.voters, seen.blank)
 
     def _unclear(self, now: float, work: Work, turn: Turn, machine: Machine) -> str:
         """Who may still send to the machine, or has not answered what it took."""
--- a/merlintally/facts.py
+++ b/merlintally/facts.py
@@ -13,18 +13,29 @@
 EFFECTS: dict[str, Effect] = {"repeatable": "harmless", "by_key": "stamped", "once": "one-shot"}
 GROUPS: dict[str, Group] = {"all": "all", "zone": "zone", "cell": "cell"}
 REPORTED = {  # names in a load report, as the settings and as the sockets have them
-    "outstanding": "held", "backlog": "waiting", "utilization": "busy",
-    "recent_ms": "answer_time", "throughput": "answers_per_s", "errors_per_s": "errors_per_s",
-    "inflight": "held", "queue": "waiting", "util": "busy",
-    "latency_ms": "answer_time", "qps": "answers_per_s", "eps": "errors_per_s",
+    "outstanding": "held",
+    "backlog": "waiting",
+    "utilization": "busy",
+    "recent_ms": "answer_time",
+    "throughput": "answers_per_s",
+    "errors_per_s": "errors_per_s",
+    "inflight": "held",
+    "queue": "waiting",
+    "util": "busy",
+    "latency_ms": "answer_time",
+    "qps": "answers_per_s",
+    "eps": "errors_per_s",
 }
 
 
 def reported_names(info: Fields) -> list[str]:
     """The fields of a load report in their order, by their names in the decisions."""
     named = whole(info, "report.names.count", -1)
-    names = info.get("report.names", "").split(",") if named < 0 else [
-        info.get(f"report.names.{i}", "") for i in range(named)]
+    names = (
+        info.get("report.names", "").split(",")
+        if named < 0
+        else [info.get(f"report.names.{i}", "") for i in range(named)]
+    )
     return [REPORTED.get(name, name) for name in names]
 
 
--- a/merlintally/lab/days.py
+++ b/merlintally/lab/days.py
@@ -54,9 +54,7 @@
     "work_listed",
     "work_random",
 ]
-PARTS = {
-    kind for kind in get_args(TroubleKind) if kind.startswith(("servers_", "gateways_", "work_"))
-} | {
+PARTS = {kind for kind in get_args(TroubleKind) if kind.startswith(("servers_", "gateways_", "work_"))} | {
     "weights_shift",
     "clients_leave",
     "connections_reset",
--- a/merlintally/lab/faults/play.py
+++ b/merlintally/lab/faults/play.py
@@ -140,10 +140,7 @@
                 f'listen = "{own[self.name]}"',
                 f"voters = {json.dumps(voters)}",
             ]
-            rows += [
-                f"{key} = {getattr(form, key)}"
-                for key in FORWARDED
-            ]
+            rows += [f"{key} = {getattr(form, key)}" for key in FORWARDED]
             warm = live.scenario.work.warm_s if live.scenario.work is not None else 0.5
             longest = max(one.hard_limit_s for one in live.world.day.lane)
             rows += [f"warm_s = {warm}", f"longest_s = {longest}"]
@@ -274,6 +271,7 @@
             return None
         self.copied_rows = max(self.copied_rows, found["rows"])
         return found["digests"] if found["caught_up"] else None
+
     # Faults.
 
     async def _cause(self, fault: FaultForm) -> None:
--- a/merlintally/net/backoff.py
+++ b/merlintally/net/backoff.py
@@ -14,8 +14,9 @@
     `spared_most`, and each answer shortens the next one.
     """
 
-    def __init__(self, dice: random.Random, first: float, most: float, spared: float,
-                 spared_most: float) -> None:
+    def __init__(
+        self, dice: random.Random, first: float, most: float, spared: float, spared_most: float
+    ) -> None:
         self.dice, self.first, self.most = dice, first, most
         self.spared, self.spared_most = spared, spared_most
         self.failures, self.pause = 0, 0.0
--- a/merlintally/net/clients.py
+++ b/merlintally/net/clients.py
@@ -120,7 +120,7 @@
             self.whole_by = self.read_at + self.clients.bounds.client_patience_s
 
     async def _command(self, raw: bytes, words: list[Span]) -> None:
-        name, clients = raw[words[0][0]:words[0][1]].upper(), self.clients
+        name, clients = raw[words[0][0] : words[0][1]].upper(), self.clients
         if name in COMMANDS:
             try:
                 taken = Taken(self, raw, words, clients.facts, self.read_at)
@@ -146,8 +146,11 @@
         others need: it is answered at once, and read again a little later; after some faults it is closed."""
         self.faults += 1
         if self.faults >= self.clients.bounds.faults and not self.closing:
-            self.clients.log.say(f"client {self.who}: {self.faults} commands in a row can't be taken; its "
-                                 "connection is closed", "client.closed")
+            self.clients.log.say(
+                f"client {self.who}: {self.faults} commands in a row can't be taken; its "
+                "connection is closed",
+                "client.closed",
+            )
             self.closing = True
             self.pass_on()
         await self._watching(partial(anyio.sleep, self.clients.bounds.fault_pause_s))
@@ -267,8 +270,18 @@
 class Clients:
     """The listener and all connections of clients."""
 
-    def __init__(self, deployment: Deployment, listener: socket.socket, phases: Phases, keeper: Owner,
-                 clock: Clock, log: Log, group: TaskGroup, descriptors: Allowance, held: Allowance) -> None:
+    def __init__(
+        self,
+        deployment: Deployment,
+        listener: socket.socket,
+        phases: Phases,
+        keeper: Owner,
+        clock: Clock,
+        log: Log,
+        group: TaskGroup,
+        descriptors: Allowance,
+        held: Allowance,
+    ) -> None:
         self.listener, self.phases, self.bounds = listener, phases, deployment.bounds
         self.keeper, self.clock, self.log, self.group = keeper, clock, log, group
         self.descriptors, self.held = descriptors, held
@@ -280,8 +293,9 @@
         while True:
             if self.descriptors.full:
                 if not self.give_way():
-                    self.log.say("no descriptors are left for clients, and none of them is idle",
-                                 "clients.descriptors")
+                    self.log.say(
+                        "no descriptors are left for clients, and none of them is idle", "clients.descriptors"
+                    )
                 with anyio.move_on_after(self.bounds.again_s):  # one may fall idle meanwhile
                     await self.descriptors.room()
                 continue
@@ -316,11 +330,17 @@
         """Close the connection that is needed least: one that is closing, one that has brought nothing, or
         the one idle for longest. False if there is none."""
         now, bounds = self.clock.now(), self.bounds
-        rows = [(not client.closing, client.known, client.moved_at, number, client)
-                for number, client in enumerate(self.connections)
-                if not client.due and not client.stream.unsent and not client.ended
-                and (client.closing or now - client.moved_at > (
-                    bounds.client_rest_s if client.known else bounds.client_silent_s))]
+        rows = [
+            (not client.closing, client.known, client.moved_at, number, client)
+            for number, client in enumerate(self.connections)
+            if not client.due
+            and not client.stream.unsent
+            and not client.ended
+            and (
+                client.closing
+                or now - client.moved_at > (bounds.client_rest_s if client.known else bounds.client_silent_s)
+            )
+        ]
         for *_, client in sorted(rows):
             if client.closing or client.stream.quiet():  # else what makes it whole may have come
                 client.end()
@@ -339,8 +359,10 @@
                     client.end()
             elif not client.due and begun and now > client.whole_by:
                 if stream.quiet():  # else what makes it whole may have come
-                    self.log.say(f"client {client.who}: no whole command in time; its connection is closed",
-                                 "client.closed")
+                    self.log.say(
+                        f"client {client.who}: no whole command in time; its connection is closed",
+                        "client.closed",
+                    )
                     client.end()
             elif still > bounds.client_idle_s and client.rests:
                 client.retire()
--- a/merlintally/net/configuration.py
+++ b/merlintally/net/configuration.py
@@ -90,10 +90,19 @@
 
 
 FIXED = {  # what can't change while the node runs, by the keys that it is read from
-    "name": "name", "listen": "listen", "peer_listen": "peer_listen", "peers": "peers",
-    "peers_all": "peers_all", "seed": "seed", "sockets": "limits.sockets", "memory": "limits.memory_mb",
-    "facts": "settings", "reported": "settings.report", "most_open": "settings.limits.maxOpen",
-    "connect_time_out": "settings.limits.connectTimeoutS", "idle_close": "settings.limits.idleCloseS",
+    "name": "name",
+    "listen": "listen",
+    "peer_listen": "peer_listen",
+    "peers": "peers",
+    "peers_all": "peers_all",
+    "seed": "seed",
+    "sockets": "limits.sockets",
+    "memory": "limits.memory_mb",
+    "facts": "settings",
+    "reported": "settings.report",
+    "most_open": "settings.limits.maxOpen",
+    "connect_time_out": "settings.limits.connectTimeoutS",
+    "idle_close": "settings.limits.idleCloseS",
     "pushed": "settings.discovery",
     "bounds": "node",
 }
@@ -143,9 +152,13 @@
     values = flat(dict(entry))
     status = known(PRESENCES, text(values, "status"), "status")
     facts = ServerFacts(
-        server=text(values, "name"), presence=status, zone=values.get("zone", ""),
-        cell=whole(values, "group", 0), started=number(values, "since_ms", 0.0) / 1000,
-        size=number(values, "weight", 1.0), machine=values.get("type", ""),
+        server=text(values, "name"),
+        presence=status,
+        zone=values.get("zone", ""),
+        cell=whole(values, "group", 0),
+        started=number(values, "since_ms", 0.0) / 1000,
+        size=number(values, "weight", 1.0),
+        machine=values.get("type", ""),
     )
     try:
         where = address(entry.get("address"), "address") if "address" in entry or status != "gone" else None
@@ -192,8 +205,11 @@
     for at, plan in enumerate(facts.plans):
         if min(plan.rate, plan.burst, plan.open_limit, plan.ceiling_rate, plan.ceiling_burst) < 0:
             raise Faulty(f"settings.tariffs.{at}: a quota is below 0")
-    for key, value, least in (("balancers", facts.gateways, 1), ("slotNo", facts.number, 0),
-                              ("limits.maxAttempts", facts.most_executions, 1)):
+    for key, value, least in (
+        ("balancers", facts.gateways, 1),
+        ("slotNo", facts.number, 0),
+        ("limits.maxAttempts", facts.most_executions, 1),
+    ):
         if value < least:
             raise Faulty(f"settings.{key}: {value!r} is below {least}")
     if min(facts.warm_within, facts.tip_window, facts.tip_multiple) <= 0:
@@ -247,14 +263,25 @@
     if facts.may_count and given.get("counter") is None:
         raise Faulty("counter: is missing, and settings.familyInfo.mayCount says that there is one")
     return Deployment(
-        name=str(value("name", "LB_NAME")), listen=address(value("listen", "LB_LISTEN"), "listen"),
-        discovery=address(value("discovery", "LB_DISCOVERY"), "discovery"), counter=optional("counter"),
-        peer_listen=optional("peer_listen"), peers_all=optional("peers_all"),
-        peers=tuple(address(one, f"peers.{at}") for at, one in enumerate(peers)), seed=seed, sockets=sockets,
-        memory=int(memory * (1 << 20)), known=tuple(servers), known_index=version, facts=facts,
+        name=str(value("name", "LB_NAME")),
+        listen=address(value("listen", "LB_LISTEN"), "listen"),
+        discovery=address(value("discovery", "LB_DISCOVERY"), "discovery"),
+        counter=optional("counter"),
+        peer_listen=optional("peer_listen"),
+        peers_all=optional("peers_all"),
+        peers=tuple(address(one, f"peers.{at}") for at, one in enumerate(peers)),
+        seed=seed,
+        sockets=sockets,
+        memory=int(memory * (1 << 20)),
+        known=tuple(servers),
+        known_index=version,
+        facts=facts,
         reported={name: told for name, told in REPORTED.items() if told in names},
-        most_open=most_open, connect_time_out=connect_time_out, idle_close=idle_close,
-        pushed=info.get("discovery") == "pushed", bounds=bounds,
+        most_open=most_open,
+        connect_time_out=connect_time_out,
+        idle_close=idle_close,
+        pushed=info.get("discovery") == "pushed",
+        bounds=bounds,
     )
 
 
--- a/merlintally/net/counter.py
+++ b/merlintally/net/counter.py
@@ -17,8 +17,14 @@
 from merlintally.net.sockets import Stream, connect, tcp_socket
 from merlintally.net.timers import Clock, Timers
 
-PART = re.compile(rb"|".join((  # of an answer; guards against waiting for the end of one that is spoilt
-    rb"o?|ok|ok [-+.0-9e]{0,40}\r?", *(word[:at] for word in (b"busy\r", b"error\r") for at in range(1, 7)))))
+PART = re.compile(
+    rb"|".join(
+        (  # of an answer; guards against waiting for the end of one that is spoilt
+            rb"o?|ok|ok [-+.0-9e]{0,40}\r?",
+            *(word[:at] for word in (b"busy\r", b"error\r") for at in range(1, 7)),
+        )
+    )
+)
 
 
 class Call:
@@ -41,8 +47,16 @@
 class Counter:
     """Calls without an answer in time are over; their answers are still awaited, for the order's sake."""
 
-    def __init__(self, where: Address, time_out: float, bounds: Bounds, keeper: Owner, clock: Clock,
-                 timers: Timers, log: Log) -> None:
+    def __init__(
+        self,
+        where: Address,
+        time_out: float,
+        bounds: Bounds,
+        keeper: Owner,
+        clock: Clock,
+        timers: Timers,
+        log: Log,
+    ) -> None:
         self.where, self.time_out, self.bounds = where, time_out, bounds
         self.keeper, self.clock, self.timers, self.log = keeper, clock, timers, log
         self.unsent: deque[Call] = deque()  # not yet written: nothing is added
@@ -156,7 +170,7 @@
     async def _answers(self, line: Line) -> None:
         stream = line.stream
         while (stop := line_end(stream.buffer, stream.start, stream.end)) is not None:
-            answer = bytes(stream.buffer[stream.start:stop]).decode("ascii", "replace")
+            answer = bytes(stream.buffer[stream.start : stop]).decode("ascii", "replace")
             stream.start = stop + 2
             if not line.pending:
                 raise Malformed("an answer came to no call")
--- a/merlintally/net/discovery.py
+++ b/merlintally/net/discovery.py
@@ -33,8 +33,16 @@
     that leaves, half for each; so do a call without an answer and the pause behind it.
     """
 
-    def __init__(self, where: Address, version: int | None, bounds: Bounds, keeper: Owner,
-                 chance: Random, log: Log, local: bool = False) -> None:
+    def __init__(
+        self,
+        where: Address,
+        version: int | None,
+        bounds: Bounds,
+        keeper: Owner,
+        chance: Random,
+        log: Log,
+        local: bool = False,
+    ) -> None:
         """`local`: an agent of this machine, which has lists pushed to it. What it gets after an outage
         counts as told at once, and asking it costs nothing: it is not asked ever less while it is silent."""
         self.where, self.bounds, self.keeper, self.log = where, bounds, keeper, log
@@ -140,7 +148,7 @@
             if event is h11.NEED_DATA:
                 if not await stream.receive() and stream.was_reset:
                     raise OSError("the connection was reset")  # which is no end of an answer without a length
-                connection.receive_data(bytes(stream.buffer[stream.start:stream.end]))
+                connection.receive_data(bytes(stream.buffer[stream.start : stream.end]))
                 stream.start = stream.end = 0
             elif isinstance(event, h11.Response):
                 status = event.status_code
--- a/merlintally/net/keeper.py
+++ b/merlintally/net/keeper.py
@@ -107,8 +107,16 @@
         taken.number = self.last_number = self.last_number + 1
         self.taken[taken.number] = taken
         try:
-            taken.handle = self.gateway.take(now, taken.number, taken.lane, taken.customer, taken.plan,
-                                             taken.ends - now, taken.units, taken.spread)
+            taken.handle = self.gateway.take(
+                now,
+                taken.number,
+                taken.lane,
+                taken.customer,
+                taken.plan,
+                taken.ends - now,
+                taken.units,
+                taken.spread,
+            )
         finally:
             if taken.handle is None:
                 self._answer(taken.number, GIVEN_UP)
@@ -129,14 +137,26 @@
         execution.over = True
         taken, now = execution.taken, self.clock.now()
         if self.log.follows:
-            self._step(taken, "execution.ended", execution=execution.number, outcome=answer.outcome,
-                       after_s=now - execution.began)
+            self._step(
+                taken,
+                "execution.ended",
+                execution=execution.number,
+                outcome=answer.outcome,
+                after_s=now - execution.began,
+            )
         taken.out.pop(execution.number, None)
         if answer.value:
             self._pass_on(taken, [answer.value])
         if taken.handle is not None:
-            taken.handle.ended(now, execution.number, answer.outcome, now - execution.began,
-                               taken.answer is not None or taken.gone, answer.actual, answer.report)
+            taken.handle.ended(
+                now,
+                execution.number,
+                answer.outcome,
+                now - execution.began,
+                taken.answer is not None or taken.gone,
+                answer.actual,
+                answer.report,
+            )
         self._forget(taken)
 
     def expired(self, execution: Execution) -> None:
@@ -191,8 +211,9 @@
     def _step(self, taken: Taken, event: str, **fields: object) -> None:
         """A step of a submission, for those who follow an id over nodes. Called only where the log follows:
         what it tells is not worth working out for nobody, several times a submission."""
-        self.log.say("", event, submission=taken.id.decode(), customer=taken.customer, lane=taken.lane,
-                     **fields)
+        self.log.say(
+            "", event, submission=taken.id.decode(), customer=taken.customer, lane=taken.lane, **fields
+        )
 
     # What the decisions want done.
 
--- a/merlintally/net/log.py
+++ b/merlintally/net/log.py
@@ -31,8 +31,14 @@
     somebody has set it, to set the log anew.
     """
 
-    def __init__(self, name: str, per_second: float, stream: TextIO | None = None,
-                 style: Style | None = None, follows: bool = False) -> None:
+    def __init__(
+        self,
+        name: str,
+        per_second: float,
+        stream: TextIO | None = None,
+        style: Style | None = None,
+        follows: bool = False,
+    ) -> None:
         self.name, self.per_second, self.stream = name, per_second, stream
         self.style, self.follows = style or Plain(), follows
         self.reread: Callable[[Log], None] | None = None
--- a/merlintally/net/node.py
+++ b/merlintally/net/node.py
@@ -68,8 +68,11 @@
     def reload(self, after: Deployment) -> None:
         """Take up another configuration: where discovery and the counter are. The rest is told of."""
         if fixed := fixed_changes(self.deployment, after):
-            self.log.say(f"configuration: changes only with a restart: {', '.join(fixed)}",
-                         "configuration.fixed", keys=",".join(fixed))
+            self.log.say(
+                f"configuration: changes only with a restart: {', '.join(fixed)}",
+                "configuration.fixed",
+                keys=",".join(fixed),
+            )
         if self.discovery is not None:
             self.discovery.move(after.discovery)
         if self.counter is not None and after.counter is not None:
@@ -85,24 +88,31 @@
                 sockets.enter_context(self.peer_sock)
             await self._serve(self.listener, self.peer_sock, task_status)
 
-    async def _serve(self, listener: socket.socket, peer_sock: socket.socket | None,
-                     task_status: TaskStatus[None]) -> None:
+    async def _serve(
+        self, listener: socket.socket, peer_sock: socket.socket | None, task_status: TaskStatus[None]
+    ) -> None:
         told, bounds, log = self.deployment, self.deployment.bounds, self.log
         clock = Clock()
         keeper = Keeper(told, clock, log)
         timers = keeper.timers = Timers(clock, keeper.post, log, bounds.late_s)
-        discovery = self.discovery = Discovery(told.discovery, told.known_index, bounds, keeper,
-                                               keeper.gateway.random, log, told.pushed)
+        discovery = self.discovery = Discovery(
+            told.discovery, told.known_index, bounds, keeper, keeper.gateway.random, log, told.pushed
+        )
         most_clients = int((told.sockets - bounds.kept_back) * bounds.client_share)
         most_links = told.sockets - bounds.kept_back - most_clients
         async with anyio.create_task_group() as group:
             held = Allowance(int(told.memory * bounds.held_share))
             fleet = Fleet(told, keeper, clock, log, group, Allowance(most_links), held)
-            clients = Clients(told, listener, self.phases, keeper, clock, log, group, Allowance(most_clients),
-                              held)
+            clients = Clients(
+                told, listener, self.phases, keeper, clock, log, group, Allowance(most_clients), held
+            )
             keeper.fleet = fleet
             tasks: list[Callable[[], Awaitable[None]]] = [
-                keeper.run, timers.run, discovery.run, partial(self._sweep, clock, clients, fleet)]
+                keeper.run,
+                timers.run,
+                discovery.run,
+                partial(self._sweep, clock, clients, fleet),
+            ]
             if told.counter is not None:
                 time_out = told.facts.count_time_out
                 self.counter = Counter(told.counter, time_out, bounds, keeper, clock, timers, log)
@@ -187,12 +197,14 @@
     node.bind()
     async with anyio.create_task_group() as group:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+
             async def listen() -> None:
                 async for number in signals:
                     if number == signal.SIGHUP:
                         reread(node)
                     else:
                         node.leave()
+
             group.start_soon(listen)
             gc.collect()
             gc.freeze()  # what was loaded at the start lasts: it need not be looked at again
--- a/merlintally/net/peers.py
+++ b/merlintally/net/peers.py
@@ -15,8 +15,14 @@
 
 
 class Peers:
-    def __init__(self, sock: socket.socket, peers: tuple[Address, ...], everyone: Address | None,
-                 keeper: Owner, log: Log) -> None:
+    def __init__(
+        self,
+        sock: socket.socket,
+        peers: tuple[Address, ...],
+        everyone: Address | None,
+        keeper: Owner,
+        log: Log,
+    ) -> None:
         self.numbers = {peer: number for number, peer in enumerate(peers)}
         self.everyone, self.keeper, self.log = everyone, keeper, log
         self.sock = sock
--- a/merlintally/net/post.py
+++ b/merlintally/net/post.py
@@ -23,7 +23,8 @@
 
     def __init__(self, most: int) -> None:
         self._send, self._calls = anyio.create_memory_object_stream[
-            tuple[Callable[..., None], tuple[Any, ...]]](most)
+            tuple[Callable[..., None], tuple[Any, ...]]
+        ](most)
 
     async def post(self, call: Callable[..., None], *args: Any) -> None:
         """Put a call in the queue; while it is full the caller waits, and reads no more."""
--- a/merlintally/net/resp.py
+++ b/merlintally/net/resp.py
@@ -53,7 +53,7 @@
     stop = first + length
     if stop + 2 > end:
         return None
-    if buffer[stop:stop + 2] != b"\r\n":
+    if buffer[stop : stop + 2] != b"\r\n":
         raise Malformed("a bulk string does not end where it should")
     return (first, stop), stop + 2
 
--- a/merlintally/net/servers.py
+++ b/merlintally/net/servers.py
@@ -34,8 +34,7 @@
     return {part[1]: float(part[2]) for part in parts if part}
 
 
-def answer_at(buffer: bytearray, start: int, end: int,
-              reported: dict[str, str]) -> tuple[Answer, int] | None:
+def answer_at(buffer: bytearray, start: int, end: int, reported: dict[str, str]) -> tuple[Answer, int] | None:
     """The answer at `start` and where it ends; None while it is not whole."""
     if start >= end:
         return None
@@ -85,13 +84,19 @@
         try:
             await self._serve()
         except Malformed as wrong:
-            self.fleet.log.say(f"app server {self.server.name}: {wrong}; the connection is closed",
-                               "server.spoilt", server=self.server.name)
+            self.fleet.log.say(
+                f"app server {self.server.name}: {wrong}; the connection is closed",
+                "server.spoilt",
+                server=self.server.name,
+            )
         except OSError:
             pass
         except Exception:  # guards against a fault in handling one connection: it ends that one, and no other
-            self.fleet.log.say(f"app server {self.server.name}: {traceback.format_exc()}",
-                               "server.failed", server=self.server.name)
+            self.fleet.log.say(
+                f"app server {self.server.name}: {traceback.format_exc()}",
+                "server.failed",
+                server=self.server.name,
+            )
         finally:
             self.dead = True
             self.stream.close()
@@ -106,7 +111,8 @@
         # Guards against what was decided before and is written now: to one that drains since, for a client
         # that has left, or a repeat that is no longer remembered.
         late = self.execution is not None and (
-            self.execution.taken.gone or self.fleet.clock.now() >= self.execution.begin_by)
+            self.execution.taken.gone or self.fleet.clock.now() >= self.execution.begin_by
+        )
         if self.dead or late:
             return
         self.connected = True
@@ -146,7 +152,8 @@
         self.execution, execution.link = execution, self
         try:
             execution.written = self.stream.write(
-                execution.taken.message(execution.until - self.fleet.clock.now()))
+                execution.taken.message(execution.until - self.fleet.clock.now())
+            )
         except OSError:
             self.end()
             return
@@ -179,8 +186,16 @@
 class Fleet:
     """All app servers that discovery has named."""
 
-    def __init__(self, deployment: Deployment, keeper: Owner, clock: Clock, log: Log, group: TaskGroup,
-                 descriptors: Allowance, held: Allowance) -> None:
+    def __init__(
+        self,
+        deployment: Deployment,
+        keeper: Owner,
+        clock: Clock,
+        log: Log,
+        group: TaskGroup,
+        descriptors: Allowance,
+        held: Allowance,
+    ) -> None:
         self.keeper, self.clock, self.log, self.group = keeper, clock, log, group
         self.descriptors, self.held, self.reported = descriptors, held, deployment.reported
         self.connect_time_out = deployment.connect_time_out
--- a/merlintally/net/sockets.py
+++ b/merlintally/net/sockets.py
@@ -80,7 +80,7 @@
                 await self.held.room()
             self._grow()
             try:
-                got = self.sock.recv_into(memoryview(self.buffer)[self.end:])
+                got = self.sock.recv_into(memoryview(self.buffer)[self.end :])
             except (BlockingIOError, InterruptedError):
                 continue
             except OSError:
@@ -97,8 +97,8 @@
                 self.held.give(len(self.buffer) - FIRST_SIZE)
                 self.buffer = bytearray(FIRST_SIZE)
         elif self.start and self.end == len(self.buffer):
-            kept = self.buffer[self.start:self.end]
-            self.buffer[:len(kept)] = kept
+            kept = self.buffer[self.start : self.end]
+            self.buffer[: len(kept)] = kept
             self.start, self.end = 0, len(kept)
 
     def _grow(self) -> None:
--- a/merlintally/net/taken.py
+++ b/merlintally/net/taken.py
@@ -39,14 +39,32 @@
 class Taken(Due):
     """One submission, from its last byte on."""
 
-    __slots__ = ("client", "raw", "terms_at", "limit_at", "lane", "customer", "plan", "units", "spread",
-                 "id", "ends", "size", "number", "handle", "out", "sent", "gone")
-
-    def __init__(self, client: Connection, raw: bytes, words: list[Span], facts: StartFacts,
-                 arrived: float) -> None:
+    __slots__ = (
+        "client",
+        "raw",
+        "terms_at",
+        "limit_at",
+        "lane",
+        "customer",
+        "plan",
+        "units",
+        "spread",
+        "id",
+        "ends",
+        "size",
+        "number",
+        "handle",
+        "out",
+        "sent",
+        "gone",
+    )
+
+    def __init__(
+        self, client: Connection, raw: bytes, words: list[Span], facts: StartFacts, arrived: float
+    ) -> None:
         """Check a command of which `words` are the spans in `raw`; Malformed says what is wrong."""
         super().__init__()
-        repeats, length = COMMANDS[raw[words[0][0]:words[0][1]].upper()]
+        repeats, length = COMMANDS[raw[words[0][0] : words[0][1]].upper()]
         if len(words) != length:
             raise Malformed(f"this command has {length} words")
         self.client, self.raw, self.terms_at = client, raw, words[3]
@@ -116,7 +134,7 @@
 
 def terms_of(raw: bytes, span: Span) -> tuple[Fields, Span]:
     """The names and values of a submission, and where the value of `d` stands."""
-    found = raw[span[0]:span[1]]
+    found = raw[span[0] : span[1]]
     try:
         words = found.decode("ascii")
     except UnicodeDecodeError:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -26,15 +26,20 @@
     return rows
 
 
-def pytest_collection_modifyitems(session: pytest.Session, config: pytest.Config,
-                                  items: list[pytest.Item]) -> None:
+def pytest_collection_modifyitems(
+    session: pytest.Session, config: pytest.Config, items: list[pytest.Item]
+) -> None:
     rows = config.stash[KEY] = known_red(config.rootpath / "KNOWN-RED.txt")
     for item in items:
         if item.nodeid in rows:
             item.add_marker(pytest.mark.xfail(reason=rows[item.nodeid], strict=True))
     files = {item.nodeid.split("::")[0] for item in items}
-    lacking = [one for one in rows if one not in {item.nodeid for item in items}
-               and (one.split("::")[0] in files or not (config.rootpath / one.split("::")[0]).exists())]
+    lacking = [
+        one
+        for one in rows
+        if one not in {item.nodeid for item in items}
+        and (one.split("::")[0] in files or not (config.rootpath / one.split("::")[0]).exists())
+    ]
     if lacking and not any("::" in argument for argument in config.args):
         raise pytest.UsageError(f"KNOWN-RED.txt: there is no test {', '.join(lacking)}")
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -37,11 +37,30 @@
 def gateway(lanes: tuple[LaneFacts, ...] = (), plan: PlanFacts = PLAN, **changes: Any) -> Gateway:
     """A gateway that has run for 100 seconds and knows one server, `s1`."""
     facts = StartFacts(
-        number=0, gateways=2, zone="z", lanes=lanes or (lane(),), plans=(plan,), largest_units=2.0,
-        settles=False, may_count=True, count_time_out=0.05, count_price=0.01, may_note=False,
-        note_price=0.0, may_withdraw=True, parallel=True, most_executions=3, retry_after_limit=2.0,
-        cross_zone_price=0.0, handshake_price=0.0, waste_price=0.1,
-        drain_grace=0.25, cold_share=0.25, warm_within=10.0, tip_multiple=2.0, tip_window=2.0,
+        number=0,
+        gateways=2,
+        zone="z",
+        lanes=lanes or (lane(),),
+        plans=(plan,),
+        largest_units=2.0,
+        settles=False,
+        may_count=True,
+        count_time_out=0.05,
+        count_price=0.01,
+        may_note=False,
+        note_price=0.0,
+        may_withdraw=True,
+        parallel=True,
+        most_executions=3,
+        retry_after_limit=2.0,
+        cross_zone_price=0.0,
+        handshake_price=0.0,
+        waste_price=0.1,
+        drain_grace=0.25,
+        cold_share=0.25,
+        warm_within=10.0,
+        tip_multiple=2.0,
+        tip_window=2.0,
     )
     made = Gateway(replace(facts, **changes), 1, 0.0)
     made.roster(100.0, [SERVER], complete=True)
@@ -49,8 +68,16 @@
     return made
 
 
-def take(at: Gateway, number: int = 1, now: float = 100.0, key: str = "c", units: float = 1.0,
-         time_left: float = 4.0, plan: str = "plan", lane_name: str = "lane") -> Submission:
+def take(
+    at: Gateway,
+    number: int = 1,
+    now: float = 100.0,
+    key: str = "c",
+    units: float = 1.0,
+    time_left: float = 4.0,
+    plan: str = "plan",
+    lane_name: str = "lane",
+) -> Submission:
     return at.take(now, number, lane_name, key, plan, time_left, units, 2)
 
 
@@ -64,11 +91,22 @@
 def told(**changes: Any) -> Deployment:
     """What a node is told: one lane of each effect, ports of the system's choosing, nothing known."""
     given: dict[str, Any] = {
-        "name": "n0", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:1", "seed": "0f",
+        "name": "n0",
+        "listen": "127.0.0.1:1",
+        "discovery": "127.0.0.1:1",
+        "seed": "0f",
         "settings": {
-            "classes": [{"name": name, "aimS": 1.0, "deadlineS": 2.0, "repeat": repeat, "keyScope": "all",
-                         "windowS": 5.0} for name, repeat in
-                        (("look", "repeatable"), ("order", "by_key"), ("pay", "once"))],
+            "classes": [
+                {
+                    "name": name,
+                    "aimS": 1.0,
+                    "deadlineS": 2.0,
+                    "repeat": repeat,
+                    "keyScope": "all",
+                    "windowS": 5.0,
+                }
+                for name, repeat in (("look", "repeatable"), ("order", "by_key"), ("pay", "once"))
+            ],
             "tariffs": [{"name": "plan", "unitsPerS": 100.0, "mostAtOnce": 100.0}],
             "limits": {"maxAttempts": 3, "mayCancel": True, "maxRetryAfterS": 2.0, "retryAfter": True},
             "familyInfo": {"largest": 6},
@@ -78,8 +116,13 @@
     return replace(found, listen=("127.0.0.1", 0), **changes)
 
 
-def said(name: bytes = b"Q.ASK", terms: bytes = b"c=look,t=plan,d=1500,units=1,spread=1,first=0",
-         body: bytes = b"BODY", customer: bytes = b"00000000b4d65521", number: bytes = b"") -> bytes:
+def said(
+    name: bytes = b"Q.ASK",
+    terms: bytes = b"c=look,t=plan,d=1500,units=1,spread=1,first=0",
+    body: bytes = b"BODY",
+    customer: bytes = b"00000000b4d65521",
+    number: bytes = b"",
+) -> bytes:
     """A submission as a client writes it, each with an id of its own."""
     words = [name, customer, number or b"%016x" % next(IDS), terms]
     return array(*words, *([body] if name == b"Q.DO" else []))
@@ -164,8 +207,10 @@
 
 def listing(*servers: Standin, status: str = "SERVING", index: int = 1) -> bytes:
     """Discovery's whole list, of app servers s0, s1 and so on."""
-    rows = [{"name": f"s{at}", "address": "{}:{}".format(*one.address), "status": status}
-            for at, one in enumerate(servers)]
+    rows = [
+        {"name": f"s{at}", "address": "{}:{}".format(*one.address), "status": status}
+        for at, one in enumerate(servers)
+    ]
     body = json.dumps({"index": index, "snapshot": True, "endpoints": rows}).encode()
     return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
 
@@ -178,7 +223,7 @@
     """How many whole answers, lines or bulk strings, were heard."""
     count = at = 0
     while (stop := heard.find(b"\r\n", at)) >= 0:
-        at = stop + 2 + (int(heard[at + 1:stop]) + 2 if heard[at:at + 1] == b"$" else 0)
+        at = stop + 2 + (int(heard[at + 1 : stop]) + 2 if heard[at : at + 1] == b"$" else 0)
         count += at <= len(heard)
     return count
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -26,8 +26,17 @@
 def clients_of(**bounds: Any) -> Clients:
     """A node's clients without a node, with room for one connection."""
     deployment = told(bounds=Bounds(**bounds))
-    return Clients(deployment, Mock(), Phases(), Mock(post=AsyncMock()), Clock(), Log("n", 9.0), Mock(),
-                   Allowance(1), Allowance(1 << 20))
+    return Clients(
+        deployment,
+        Mock(),
+        Phases(),
+        Mock(post=AsyncMock()),
+        Clock(),
+        Log("n", 9.0),
+        Mock(),
+        Allowance(1),
+        Allowance(1 << 20),
+    )
 
 
 def client_of(clients: Clients) -> tuple[Client, socket.socket]:
@@ -40,10 +49,16 @@
 
 # A client leaves.
 
-@pytest.mark.parametrize("behind, changes", [
-    (said(), {"bounds": Bounds(pipelined=1)}), (array(b"nap"), {"bounds": Bounds(fault_pause_s=5.0)}),
-    (said()[:9], {"memory": 1000}),
-], ids=["answers awaited", "pause for a fault", "no room"])
+
+@pytest.mark.parametrize(
+    "behind, changes",
+    [
+        (said(), {"bounds": Bounds(pipelined=1)}),
+        (array(b"nap"), {"bounds": Bounds(fault_pause_s=5.0)}),
+        (said()[:9], {"memory": 1000}),
+    ],
+    ids=["answers awaited", "pause for a fault", "no room"],
+)
 def test_a_client_that_leaves_behind_what_is_not_read_is_gone(behind: bytes, changes: dict[str, Any]) -> None:
     """Its end stood behind bytes that the node did not read, and its execution went on to the hard limit."""
     at = silent()
@@ -104,7 +119,8 @@
 @pytest.mark.parametrize("close", CLOSING, ids=["sweep", "give_way", "retire"])
 @pytest.mark.parametrize("begun", [0, 9], ids=["resting", "begun"])
 def test_a_submission_that_has_come_is_not_lost_with_its_connection(
-        close: Callable[[Clients], object], begun: int) -> None:
+    close: Callable[[Clients], object], begun: int
+) -> None:
     """It was whole in the kernel's buffer, and unread, when its connection was closed for its silence."""
     clients, raw = clients_of(), said()
     client, theirs = client_of(clients)
@@ -173,8 +189,10 @@
     """Sends of what came on connections still open went out with nobody left to hand on the answer."""
     keeper = Keeper(told(), Clock(), Log("n", 9.0))
     keeper.timers, keeper.fleet = Mock(), Mock()
-    keeper.listed(page({"index": 1, "endpoints": [
-        {"name": "s", "status": "SERVING", "address": "127.0.0.1:1"}]})[2], True)
+    keeper.listed(
+        page({"index": 1, "endpoints": [{"name": "s", "status": "SERVING", "address": "127.0.0.1:1"}]})[2],
+        True,
+    )
     keeper.end_all()
     late = taken(said(), Mock(), Clock().now())
     keeper.take(late)
@@ -216,6 +234,7 @@
 
 # What was decided before and is written later.
 
+
 @pytest.mark.parametrize("change", ["late", "gone", "draining"])
 def test_what_was_decided_is_looked_up_again_when_its_connection_comes_up(change: str) -> None:
     """A connection that came up late carried a repeat out of its window, to one that drained, or for a client
@@ -233,8 +252,10 @@
             assert fleet.send("s0", execution)
             one.gone = change == "gone"
             if change == "draining":
-                fleet.roster([replace(row, facts=replace(row.facts, presence="draining"))
-                              for row in deployment.known], False)
+                fleet.roster(
+                    [replace(row, facts=replace(row.facts, presence="draining")) for row in deployment.known],
+                    False,
+                )
             group.start_soon(at.run)
             await until(lambda: keeper.post.called)
             group.cancel_scope.cancel()
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -53,7 +53,9 @@
 def test_a_part_that_is_no_table_and_a_list_item_are_named() -> None:
     assert faults_of({"log": 3}) == ["log: is no table"]
     assert faults_of({"lane": [{"name": "x"}], "customers": [{"cuont": 1}]}, Profile) == [
-        "customers.0.cuont: there is no such key (did you mean count?)", "customers.0.plan: is missing"]
+        "customers.0.cuont: there is no such key (did you mean count?)",
+        "customers.0.plan: is missing",
+    ]
 
 
 def test_faults_between_keys_are_told_by_path() -> None:
@@ -62,7 +64,11 @@
     given["lane"][0]["quoted_time_s"] = 99.0
     given["trouble"] = [{"kind": "servers_slow", "at_s": 1.0}, {"kind": "zone_cut", "at_s": 1.0, "zone": 7}]
     assert sorted(line.split(":")[0] for line in faults_of(given, Day)) == [
-        "lane.0.quoted_time_s", "trouble.0.part", "trouble.0.size", "trouble.1.zone"]
+        "lane.0.quoted_time_s",
+        "trouble.0.part",
+        "trouble.0.size",
+        "trouble.1.zone",
+    ]
 
 
 def test_the_shipped_operators_file_loads_and_all_keys_have_a_meaning() -> None:
@@ -75,16 +81,17 @@
     bad = tmp_path / "bad.toml"
     bad.write_text("[log]\nformat = 'xml'\n")
     for words, code, text in (
-            (("check", str(bad)), 2, "log.format"),
-            (("check", str(tmp_path / "none.toml")), 2, "can't be read"),
-            (("check", str(ROOT / "example" / "config.json")), 0, "a good deployment file"),
-            (("check", "--explain"), 0, "log.lines_per_s"),
-            (("chekc",), 2, "No such command"),
-            (("load", "10.1.2.3:80"), 2, "not a loopback address"),
-            (("load", "127.0.0.1:1"), 2, "no node answers"),
-            (("serve", "--config", str(tmp_path / "none.json")), 2, "can't be read"),
-            (("completion", "bash"), 0, "_MERLINTALLY_COMPLETE"),
-            (("completion", "tcsh"), 2, "no completion for tcsh")):
+        (("check", str(bad)), 2, "log.format"),
+        (("check", str(tmp_path / "none.toml")), 2, "can't be read"),
+        (("check", str(ROOT / "example" / "config.json")), 0, "a good deployment file"),
+        (("check", "--explain"), 0, "log.lines_per_s"),
+        (("chekc",), 2, "No such command"),
+        (("load", "10.1.2.3:80"), 2, "not a loopback address"),
+        (("load", "127.0.0.1:1"), 2, "no node answers"),
+        (("serve", "--config", str(tmp_path / "none.json")), 2, "can't be read"),
+        (("completion", "bash"), 0, "_MERLINTALLY_COMPLETE"),
+        (("completion", "tcsh"), 2, "no completion for tcsh"),
+    ):
         found = run(*words, capsys=capsys, monkeypatch=monkeypatch)
         assert found[0] == code and text in found[1] + found[2], (words, found)
 
@@ -130,25 +137,38 @@
         assert (await scene.ask(said(number=b"00000000000000aa"))).startswith(b"$1")
         await anyio.sleep(0.02)
 
-    rows = [json.loads(line) for line in play(told(known=known(server)), act, server).splitlines()
-            if line.startswith("{")]
+    rows = [
+        json.loads(line)
+        for line in play(told(known=known(server)), act, server).splitlines()
+        if line.startswith("{")
+    ]
     steps = [row["event"] for row in rows if row.get("submission") == "00000000000000aa"]
-    assert steps == ["submission.taken", "execution.sent", "submission.answered", "execution.ended"] or \
-        steps == ["submission.taken", "execution.sent", "execution.ended", "submission.answered"]
-    assert all(row["lane"] == "look" and row["node"] == "n" and row["customer"] for row in rows
-               if "submission" in row)
+    assert steps == [
+        "submission.taken",
+        "execution.sent",
+        "submission.answered",
+        "execution.ended",
+    ] or steps == ["submission.taken", "execution.sent", "execution.ended", "submission.answered"]
+    assert all(
+        row["lane"] == "look" and row["node"] == "n" and row["customer"]
+        for row in rows
+        if "submission" in row
+    )
 
 
 def test_the_lean_node_loads_nothing_that_is_not_switched_on() -> None:
-    text = ("import sys, merlintally.net.node\n"
-            "print([name for name in ('click', 'msgspec', 'structlog', 'numpy', 'rich', 'hdrh',"
-            " 'merlintally.lab', 'merlintally.cli', 'merlintally.operators') if name in sys.modules])")
+    text = (
+        "import sys, merlintally.net.node\n"
+        "print([name for name in ('click', 'msgspec', 'structlog', 'numpy', 'rich', 'hdrh',"
+        " 'merlintally.lab', 'merlintally.cli', 'merlintally.operators') if name in sys.modules])"
+    )
     done = subprocess.run([sys.executable, "-c", text], capture_output=True, text=True, cwd=ROOT, check=True)
     assert done.stdout.strip() == "[]"
 
 
 def test_a_served_node_takes_up_its_operators_file_and_keeps_the_old_one_where_the_new_is_faulty(
-        tmp_path: Path) -> None:
+    tmp_path: Path,
+) -> None:
     given = json.loads((ROOT / "example" / "config.json").read_text())
     with socket.socket() as sock:
         sock.bind(("127.0.0.1", 0))
@@ -157,8 +177,9 @@
     config.write_text(json.dumps(given))
     operators.write_text("[log]\nformat = 'json'\n")
     words = ["serve", "--config", str(config), "--operators", str(operators)]
-    with subprocess.Popen([sys.executable, "-m", "merlintally", *words], stderr=subprocess.PIPE, text=True,
-                          cwd=ROOT) as node:
+    with subprocess.Popen(
+        [sys.executable, "-m", "merlintally", *words], stderr=subprocess.PIPE, text=True, cwd=ROOT
+    ) as node:
         try:
             assert node.stderr is not None
             # nothing stands where discovery should be: it says so, as JSON
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -17,7 +17,7 @@
     take(at)
     at.customers["c"].store = 0.0
     assert take(at, 2).settled
-    (number, wait), = at.take_results(100.0).bounced
+    ((number, wait),) = at.take_results(100.0).bounced
     assert number == 2 and 0 < wait <= 2.0
 
 
@@ -105,9 +105,9 @@
     at = gateway((lane(effect="one-shot"),))
     at.roster(100.0, [replace(SERVER, server="s2")], complete=False)
     handle = take(at)
-    (_, first, _), = at.take_results(100.0).sends
+    ((_, first, _),) = at.take_results(100.0).sends
     handle.ended(100.1, 0, "full", 0.1, False)
-    (_, second, _), = at.take_results(100.1).sends
+    ((_, second, _),) = at.take_results(100.1).sends
     assert first != second
 
 
@@ -235,8 +235,10 @@
 
 def test_spread_that_is_missing_or_beyond_the_gateways_never_widens_a_ceilings_part() -> None:
     at = gateway(gateways=4)
-    parts = [at.take(100.0, n, "lane", f"k{n}", "plan", 4.0, 1.0, spread).customer.part_depth
-             for n, spread in enumerate((0, 9))]
+    parts = [
+        at.take(100.0, n, "lane", f"k{n}", "plan", 4.0, 1.0, spread).customer.part_depth
+        for n, spread in enumerate((0, 9))
+    ]
     assert parts == [PLAN.ceiling_burst / 4, PLAN.ceiling_burst / 9]
 
 
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -29,11 +29,15 @@
     played(pytester, listed).assert_outcomes(xfailed=1, failed=1)
 
 
-@pytest.mark.parametrize("listed, said", [
-    ("test_it.py::test_red late 34\n", "line 1 is not of the form"),
-    ("test_it.py::test_other | late | 34\n", "there is no test test_it.py::test_other"),
-    ("".join(f"test_it.py::test_{at} | late | 34\n" for at in range(4)), "4 tests, and 3 may"),
-], ids=["form", "no such test", "too many"])
+@pytest.mark.parametrize(
+    "listed, said",
+    [
+        ("test_it.py::test_red late 34\n", "line 1 is not of the form"),
+        ("test_it.py::test_other | late | 34\n", "there is no test test_it.py::test_other"),
+        ("".join(f"test_it.py::test_{at} | late | 34\n" for at in range(4)), "4 tests, and 3 may"),
+    ],
+    ids=["form", "no such test", "too many"],
+)
 def test_a_list_that_can_not_be_is_refused(pytester: pytest.Pytester, listed: str, said: str) -> None:
     result = played(pytester, listed)
     assert result.ret == pytest.ExitCode.USAGE_ERROR
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -44,6 +44,7 @@
 
 # The world's parts.
 
+
 def server(agenda: Agenda, started: float = 0.0, cancel: str = "waiting") -> Server:
     """One of 2 cores and 2 places, with room for 4."""
     fleet = structs.replace(SMALL.fleet, cores=2, places_per_core=1, waiting_per_core=2, thrash=0.0)
@@ -121,8 +122,9 @@
     counter = SharedCounter(CounterForm(calls_per_s=10.0, parts=1, line_s=0.15), agenda)
 
     def call(gateway: int = 0, amount: float = 1.0, life: float = 5.0) -> None:
-        counter.call(gateway, 7, amount, life,
-                     lambda outcome, total: heard.append((agenda.now, outcome, total)))
+        counter.call(
+            gateway, 7, amount, life, lambda outcome, total: heard.append((agenda.now, outcome, total))
+        )
 
     call()
     call()
@@ -190,9 +192,17 @@
 
 # The referee.
 
-@pytest.mark.parametrize(("name", "day", "rule"), [
-    ("broken-answers", "calm", "1"), ("broken-repeats", "split", "2"), ("broken-drains", "replaced", "3"),
-    ("broken-cold", "rolling", "4"), ("broken-ceilings", "greedy", "5")])
+
+@pytest.mark.parametrize(
+    ("name", "day", "rule"),
+    [
+        ("broken-answers", "calm", "1"),
+        ("broken-repeats", "split", "2"),
+        ("broken-drains", "replaced", "3"),
+        ("broken-cold", "rolling", "4"),
+        ("broken-ceilings", "greedy", "5"),
+    ],
+)
 def test_the_referee_catches_each_broken_gateway(name: str, day: str, rule: str) -> None:
     found = play(read_day(day).at_size(12, 12.0), 1, name)
     assert found.broken.get(rule, 0) > 0 and any(line.startswith(f"rule {rule}") for line in found.breaches)
@@ -219,6 +229,7 @@
 
 # Days.
 
+
 def test_every_shipped_day_can_be_read() -> None:
     assert len(shipped()) >= 10
     for name in shipped():
@@ -233,8 +244,10 @@
 
 
 def test_a_trouble_that_names_a_server_that_is_gone_is_noted() -> None:
-    day = with_troubles(Trouble("servers_die", 0.5, 10.0, names=("s0",)),
-                        Trouble("servers_slow", 1.0, 1.0, size=3.0, names=("s0", "s99")))
+    day = with_troubles(
+        Trouble("servers_die", 0.5, 10.0, names=("s0",)),
+        Trouble("servers_slow", 1.0, 1.0, size=3.0, names=("s0", "s99")),
+    )
     found = play(day, 1)
     assert [line.split(":")[1].split()[0] for line in found.notices] == ["s0", "s99"]
 
@@ -247,11 +260,23 @@
 
 # Alike each time.
 
+
 def test_the_same_seed_gives_the_same_bytes_whatever_the_hash_seed() -> None:
-    text = ("from merlintally.lab.days import read_day; from merlintally.lab.play import play;"
-            "print(play(read_day('release').at_size(6, 4.0), 5).record_digest)")
-    digests = {subprocess.run([sys.executable, "-c", text], capture_output=True, text=True, check=True,
-                              cwd=ROOT, env={"PYTHONHASHSEED": seed}).stdout for seed in ("0", "1")}
+    text = (
+        "from merlintally.lab.days import read_day; from merlintally.lab.play import play;"
+        "print(play(read_day('release').at_size(6, 4.0), 5).record_digest)"
+    )
+    digests = {
+        subprocess.run(
+            [sys.executable, "-c", text],
+            capture_output=True,
+            text=True,
+            check=True,
+            cwd=ROOT,
+            env={"PYTHONHASHSEED": seed},
+        ).stdout
+        for seed in ("0", "1")
+    }
     assert len(digests) == 1 and len(digests.pop().strip()) == 32
 
 
@@ -264,6 +289,7 @@
 
 # Builds, experiments, comparisons, reports.
 
+
 def test_builds_by_path_and_what_is_none(tmp_path: Path) -> None:
     (tmp_path / "choice.py").write_text((ROOT / "merlintally" / "choice.py").read_text() + "\nOTHER = 1\n")
     other = build(str(tmp_path / "choice.py"))
@@ -275,8 +301,9 @@
 
 
 def result(day: str, seed: int, name: str, worth: float) -> Result:
-    figures = dict.fromkeys(("G", "service", "worst_window", "refused_with_room", "units_beyond",
-                             "answer_p99_ms"), worth)
+    figures = dict.fromkeys(
+        ("G", "service", "worst_window", "refused_with_room", "units_beyond", "answer_p99_ms"), worth
+    )
     return Result(1, day, seed, 6, 3, name, "d", figures, {}, [], "r", 1, 1.0, 1.0, [], 4.0)
 
 
@@ -295,8 +322,10 @@
     file = ResultsFile(tmp_path / "results.jsonl")
     file.append([result("calm", 1, "a", 0.5), result("calm", 2, "a", 0.5)])
     lines = file.path.read_bytes().splitlines()
-    for spoilt, wrong in ((lines[1][:30], "line 2 is no result"),
-                          (lines[1].replace(b'"version":1', b'"version":9'), "line 2 has version 9")):
+    for spoilt, wrong in (
+        (lines[1][:30], "line 2 is no result"),
+        (lines[1].replace(b'"version":1', b'"version":9'), "line 2 has version 9"),
+    ):
         file.path.write_bytes(b"\n".join([lines[0], spoilt, lines[0]]) + b"\n")
         with pytest.raises(Faults, match=wrong):
             file.read()
@@ -304,23 +333,33 @@
 
 def hangs(task: Wanted) -> Result:
     import time
+
     time.sleep(60)
     raise AssertionError("ended by itself")
 
 
 def test_a_build_that_hangs_does_not_hang_the_run(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     import merlintally.lab.experiment as experiment
+
     monkeypatch.setattr(experiment, "one", hangs)
     with pytest.raises(Faults, match="no day has ended for 2 s"):
         run([Wanted("calm", 1, 4, "even", 2.0)], tmp_path / "run.jsonl", 1, hangs_s=2.0)
 
 
-@pytest.mark.parametrize(("worth", "told", "word"), [
-    (lambda seed: 0.05, True, "better"), (lambda seed: -0.05 - 0.001 * seed, True, "worse"),
-    (lambda seed: 0.05 * (-1) ** seed, False, "not told from noise")])
+@pytest.mark.parametrize(
+    ("worth", "told", "word"),
+    [
+        (lambda seed: 0.05, True, "better"),
+        (lambda seed: -0.05 - 0.001 * seed, True, "worse"),
+        (lambda seed: 0.05 * (-1) ** seed, False, "not told from noise"),
+    ],
+)
 def test_a_difference_is_told_from_noise(worth: Callable[[int], float], told: bool, word: str) -> None:
-    rows = [result("calm", seed, name, 0.5 + (worth(seed) if name == "b" else 0.0) + 0.1 * seed)
-            for seed in range(1, 7) for name in ("a", "b")]
+    rows = [
+        result("calm", seed, name, 0.5 + (worth(seed) if name == "b" else 0.0) + 0.1 * seed)
+        for seed in range(1, 7)
+        for name in ("a", "b")
+    ]
     found = compare(rows, "a", "b")[0]
     assert found.told is told and word in found.sentence() and found.pairs == 6
     assert compare(rows[:2], "a", "b")[0].told is False and compare(rows, "a", "c") == []
@@ -335,8 +374,13 @@
     found = play(SMALL, 1, "broken-answers")
     text = page([found, play(SMALL, 1, "even")], ["a sentence"])
     assert text.count("<svg") == 6 and "a sentence" in text and "rule 1" in text
-    assert "http://" not in text.replace("http://www.w3.org", "").replace("http://purl.org", "").replace(
-        "http://creativecommons.org", "") and "<script" not in text
+    assert (
+        "http://"
+        not in text.replace("http://www.w3.org", "")
+        .replace("http://purl.org", "")
+        .replace("http://creativecommons.org", "")
+        and "<script" not in text
+    )
 
 
 def test_a_world_of_two_zones_can_be_cut() -> None:
@@ -347,10 +391,18 @@
 
 def test_a_day_in_real_time_round_node_processes_that_are_killed() -> None:
     from merlintally.lab.live.play import play_real
-    day = structs.replace(read_day("release").at_size(3, 3.0), trouble=(
-        Trouble("gateways_die", 1.0, 0.3, part=0.34), Trouble("counter_silent", 1.0, 0.5),
-        Trouble("servers_die", 1.5, 0.5, part=0.5), Trouble("answers_spoilt", 0.5, 2.0, part=0.05),
-        Trouble("discovery_moved", 0.8, 0.5), Trouble("gateways_hang", 2.0, 0.4, part=0.34)))
+
+    day = structs.replace(
+        read_day("release").at_size(3, 3.0),
+        trouble=(
+            Trouble("gateways_die", 1.0, 0.3, part=0.34),
+            Trouble("counter_silent", 1.0, 0.5),
+            Trouble("servers_die", 1.5, 0.5, part=0.5),
+            Trouble("answers_spoilt", 0.5, 2.0, part=0.05),
+            Trouble("discovery_moved", 0.8, 0.5),
+            Trouble("gateways_hang", 2.0, 0.4, part=0.34),
+        ),
+    )
     found = play_real(day, 1)
     assert found.breaches == [] and found.timing == "real" and found.figures["service"] > 0.4
     assert not [line for line in found.notices if "by itself" in line or "no client" in line]
@@ -358,21 +410,27 @@
 
 def test_a_day_too_large_for_real_time_is_refused() -> None:
     from merlintally.lab.live.play import play_real
+
     with pytest.raises(Faults, match="gateways"):
         play_real(read_day("calm").at_size(100), 1)
 
 
 def test_two_days_side_by_side_do_not_meet() -> None:
-    text = ("from merlintally.lab.days import read_day; from merlintally.lab.live.play import play_real;"
-            "r = play_real(read_day('calm').at_size(2, 2.0), 1); print(r.broken, [n for n in r.notices if "
-            "'no client' in n or 'by itself' in n])")
-    both = [subprocess.Popen([sys.executable, "-c", text], stdout=subprocess.PIPE, text=True, cwd=ROOT)
-            for _ in range(2)]
+    text = (
+        "from merlintally.lab.days import read_day; from merlintally.lab.live.play import play_real;"
+        "r = play_real(read_day('calm').at_size(2, 2.0), 1); print(r.broken, [n for n in r.notices if "
+        "'no client' in n or 'by itself' in n])"
+    )
+    both = [
+        subprocess.Popen([sys.executable, "-c", text], stdout=subprocess.PIPE, text=True, cwd=ROOT)
+        for _ in range(2)
+    ]
     assert [one.communicate(timeout=60)[0].strip() for one in both] == ["{} []"] * 2
 
 
 # Where the worth goes.
 
+
 def test_an_account_tells_the_ceilings_part_from_old_news() -> None:
     made = build("here")
     world = simulated(small("greedy", 6.0), 1, made, Record())
@@ -385,7 +443,8 @@
     room = sum(row["tries"] for row in rows if row["kind"] == "with room")
     assert room == world.referee.counts["with room"]  # the account misses none
     assert sum(row["units"] for row in rows if row["kind"] == "beyond") == pytest.approx(
-        world.referee.units_beyond, abs=0.5)
+        world.referee.units_beyond, abs=0.5
+    )
     causes = {row["cause"] for row in rows}
     assert "unknown" not in causes and "the ceiling's part" in causes
     assert not any(row["cause"] == "the ceiling's part" and row["plan"] == "small" for row in rows)
@@ -409,8 +468,12 @@
         "n0: a plain line\n"
         "ts=2026-01-01T00:00:02Z node=n0 event=submission.answered submission=aa answer=bounced\n"
         "ts=2026-01-01T00:00:01Z node=n0 event=submission.taken submission=aa customer=c lane=l\n"
-        "ts=2026-01-01T00:00:01Z node=n0 event=submission.taken submission=bb customer=c lane=l\n")
+        "ts=2026-01-01T00:00:01Z node=n0 event=submission.taken submission=bb customer=c lane=l\n"
+    )
     row = {"ts": "2026-01-01T00:00:03Z", "node": "n1", "event": "submission.taken", "submission": "aa"}
     (tmp_path / "n1.log").write_text(json.dumps(row) + "\n{half")
     assert [line.split()[1:3] for line in follow([tmp_path / "n0.log", tmp_path / "n1.log"], "aa")] == [
-        ["n0", "submission.taken"], ["n0", "submission.answered"], ["n1", "submission.taken"]]
+        ["n0", "submission.taken"],
+        ["n0", "submission.answered"],
+        ["n1", "submission.taken"],
+    ]
--- a/tests/test_lists.py
+++ b/tests/test_lists.py
@@ -60,8 +60,10 @@
 def test_an_answer_of_an_older_version_takes_no_drain_back() -> None:
     old, new = server(), server()
     body = listing(old, new).split(b"\r\n\r\n")[1].replace(b"SERVING", b"DRAINING", 1)
-    rows = [b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body),
-            listing(old, new, index=0)]
+    rows = [
+        b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body),
+        listing(old, new, index=0),
+    ]
     asked = list[bytes]()
 
     def say(heard: bytes) -> bytes:
@@ -99,6 +101,7 @@
 
 def test_an_agent_of_the_machine_that_is_silent_is_not_asked_ever_less() -> None:
     """What it gets at its return counts as told at once: a pause grown over its outage would miss that."""
+
     async def pauses(local: bool) -> list[float]:
         discovery = Discovery(("127.0.0.1", 1), 3, Bounds(), Mock(), Random(1), Log("n", 9.0), local)
         return [discovery.backoff.failed() for _ in range(20)]
@@ -108,7 +111,12 @@
 
 def test_whether_lists_are_pushed_is_read_from_the_settings() -> None:
     given = {"name": "n", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:1", "seed": "f"}
-    settings = {"classes": [{"name": "a", "aimS": 1, "deadlineS": 2, "repeat": "once"}],
-                "tariffs": [{"name": "p", "unitsPerS": 1, "mostAtOnce": 1}], "familyInfo": {"largest": 6}}
-    assert [deployment_of({**given, "settings": {**settings, **more}}, {}).pushed for more in (
-        {}, {"discovery": "pushed"}, {"discovery": "on_request"})] == [False, True, False]
+    settings = {
+        "classes": [{"name": "a", "aimS": 1, "deadlineS": 2, "repeat": "once"}],
+        "tariffs": [{"name": "p", "unitsPerS": 1, "mostAtOnce": 1}],
+        "familyInfo": {"largest": 6},
+    }
+    assert [
+        deployment_of({**given, "settings": {**settings, **more}}, {}).pushed
+        for more in ({}, {"discovery": "pushed"}, {"discovery": "on_request"})
+    ] == [False, True, False]
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -15,8 +15,9 @@
 from merlintally.load.sending import Sender, Tallies, loopback_only
 
 LOOK, ORDER = LaneLoad("look", 0.7, 1.0), LaneLoad("order", 0.3, 1.0, "stamped")
-SMALL = Profile(lane=(LOOK, ORDER), customers=(CustomerLoad("plan", 5),), rate=60.0, seconds=1.0,
-                connections=8)
+SMALL = Profile(
+    lane=(LOOK, ORDER), customers=(CustomerLoad("plan", 5),), rate=60.0, seconds=1.0, connections=8
+)
 
 
 class Stalls:
@@ -75,16 +76,21 @@
 
 
 def test_a_node_that_never_answers_does_not_hold_the_tool() -> None:
-    profile = Profile(lane=(LaneLoad("look", 1.0, 0.3),), customers=SMALL.customers, rate=40.0, seconds=0.5,
-                      connections=4)
+    profile = Profile(
+        lane=(LaneLoad("look", 1.0, 0.3),), customers=SMALL.customers, rate=40.0, seconds=0.5, connections=4
+    )
     tallies, took = send(profile, lambda heard: b"+PONG\r\n" if heard.startswith(b"*1") else b"")
     assert took < 3.0 and set(tallies.outcomes["look"]) <= {"silent", "unsent"}
     assert sum(tallies.outcomes["look"].values()) == len(list(schedule(profile)))
 
 
 def test_outcomes_are_told_apart() -> None:
-    for answer, outcome in ((b"-BUSY 5\r\n", "bounced"), (b"-ERR given up\r\n", "given up"),
-                            (b"$-1\r\n", "given up"), (b"*1\r\n$1\r\nx\r\n", "delivered")):
+    for answer, outcome in (
+        (b"-BUSY 5\r\n", "bounced"),
+        (b"-ERR given up\r\n", "given up"),
+        (b"$-1\r\n", "given up"),
+        (b"*1\r\n$1\r\nx\r\n", "delivered"),
+    ):
         tallies, _ = send(SMALL, Stalls(0.0, answer).say)
         assert list(tallies.summary(1.0)["outcomes"]) == [outcome]  # type: ignore[call-overload]
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -45,6 +45,8 @@
 from merlintally.net.timers import Clock
 
 ROOT = Path(__file__).parent.parent
+
+
 def heard_of(answer: bytes | None, *asked: bytes) -> bytes:
     """What a client hears when its app server says `answer`."""
     at, heard = server(answer), list[bytes]()
@@ -63,7 +65,7 @@
 def test_in_pieces_and_byte_by_byte() -> None:
     raw = said()
     assert heard_of(OK, raw[:7], raw[7:60], raw[60:]) == b"$2\r\nhi\r\n"
-    assert heard_of(OK, *(raw[at:at + 1] for at in range(len(raw)))) == b"$2\r\nhi\r\n"
+    assert heard_of(OK, *(raw[at : at + 1] for at in range(len(raw)))) == b"$2\r\nhi\r\n"
 
 
 def test_a_value_of_64_kib_goes_through() -> None:
@@ -112,8 +114,9 @@
     at, heard = server(), list[bytes]()
 
     async def act(scene: Scene) -> None:
-        heard.append(await scene.ask(
-            said() + array(b"PING") + said() + array(b"nap") + said(terms=b"c=nap"), until=5))
+        heard.append(
+            await scene.ask(said() + array(b"PING") + said() + array(b"nap") + said(terms=b"c=nap"), until=5)
+        )
 
     play(told(known=known(at)), act, at)
     lines = heard[0].split(b"\r\n")
@@ -167,7 +170,7 @@
         half.sendall(said()[:40])
         for count in range(20):
             with suppress(OSError):
-                dripping.sendall(b"*4\r\n$5\r\nQ.ASK\r\n$16\r\n"[count:count + 1])
+                dripping.sendall(b"*4\r\n$5\r\nQ.ASK\r\n$16\r\n"[count : count + 1])
                 pinging.sendall(array(b"PING"))
             if count % 4 == 0:
                 usual.sendall(said())
@@ -201,6 +204,7 @@
 
 def test_what_is_sent_behind_a_fault_is_not_read() -> None:
     """Guards against the CPU and memory that 60 MB behind a head that can't be would take."""
+
     async def act(scene: Scene) -> None:
         sock = await scene.connect()
         sock.sendall(array(*[b"x"] * 4).replace(b"*4", b"*5") + b"$60000000\r\n")
@@ -444,6 +448,7 @@
 
 def test_the_counter_decides_and_its_silence_is_bounded() -> None:
     """Full, broken, silent or malformed, a submission is decided all the same; a total told is believed."""
+
     def total(of: bytes) -> bytes:
         return b"ok %b\r\n" % of
 
@@ -477,7 +482,7 @@
     assert not any(call in b"".join(new.heard) for call in old.heard) and new_at.heard
 
 
-@pytest.mark.parametrize("text", [None, "{\"name\"", "{\"discovery\": 7}"])
+@pytest.mark.parametrize("text", [None, '{"name"', '{"discovery": 7}'])
 def test_a_bad_new_file_leaves_the_old_in_force(text: str | None, tmp_path: Path) -> None:
     path, said_so, node = tmp_path / "config.json", io.StringIO(), EdgeNode(told())
     node.log = Log("n", 9.0, said_so)
@@ -495,8 +500,13 @@
     with socket.create_server(("127.0.0.1", 0)) as free:
         given |= {"listen": f"127.0.0.1:{free.getsockname()[1]}", "discovery": "127.0.0.1:1"}
     path.write_text(json.dumps(given))
-    with subprocess.Popen([sys.executable, "-m", "merlintally"], env=os.environ | {"LB_CONFIG": str(path)},
-                          cwd=ROOT, stderr=subprocess.PIPE, text=True) as program:
+    with subprocess.Popen(
+        [sys.executable, "-m", "merlintally"],
+        env=os.environ | {"LB_CONFIG": str(path)},
+        cwd=ROOT,
+        stderr=subprocess.PIPE,
+        text=True,
+    ) as program:
         assert program.stderr is not None
         try:
             program.stderr.readline()  # what it has to say of discovery, which is not there: it runs
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -48,9 +48,21 @@
     assert found is not None and found[1] == len(raw) + 2
 
 
-@pytest.mark.parametrize("raw", [
-    b"PING\r\n", b"*x\r\n", b"*-2\r\n", b"*1\r\n+a\r\n", b"*1\r\n$2\r\nabc\r\n", b"*1\r\n$65537\r\n",
-    b"*65\r\n", b"*9999999999\r\n", b"*" + b"1" * 600, b"*1\r\n$\r\n"])
+@pytest.mark.parametrize(
+    "raw",
+    [
+        b"PING\r\n",
+        b"*x\r\n",
+        b"*-2\r\n",
+        b"*1\r\n+a\r\n",
+        b"*1\r\n$2\r\nabc\r\n",
+        b"*1\r\n$65537\r\n",
+        b"*65\r\n",
+        b"*9999999999\r\n",
+        b"*" + b"1" * 600,
+        b"*1\r\n$\r\n",
+    ],
+)
 def test_lost_framing_is_told_from_what_has_not_come(raw: bytes) -> None:
     with pytest.raises(Malformed):
         array_at(bytearray(raw), 0, len(raw))
@@ -67,46 +79,56 @@
     assert taken(said(terms=b"c=look,t=plan,d=500,units=1,spread=1,first=0")).ends == 100.5
 
 
-@pytest.mark.parametrize(("wrong", "raw"), [
-    ("'c' names no lane", said(terms=b"c=nap,t=plan,d=9,units=1,spread=1,first=0")),
-    ("'c' is missing", said(terms=b"t=plan,d=9,units=1,spread=1,first=0")),
-    ("'t' names no plan", said(terms=b"c=look,t=none,d=9,units=1,spread=1,first=0")),
-    ("'d' is missing", said(terms=b"c=look,t=plan,units=1,spread=1,first=0")),
-    ("'d' is not a whole", said(terms=b"c=look,t=plan,d=9.5,units=1,spread=1,first=0")),
-    ("'d' is no number", said(terms=b"c=look,t=plan,d=-9,units=1,spread=1,first=0")),
-    ("'d' is no number", said(terms=b"c=look,t=plan,d=1_0,units=1,spread=1,first=0")),
-    ("'first' is no number", said(terms=b"c=look,t=plan,d=9,units=1,spread=1,first=1e9")),
-    ("'units' is no number", said(terms=b"c=look,t=plan,d=9,units=nan,spread=1,first=0")),
-    ("above 0", said(terms=b"c=look,t=plan,d=9,units=0,spread=1,first=0")),
-    ("no set", said(terms=b"c=look,t=plan,d=9,units=1,spread=0,first=0")),
-    ("'first' is missing", said(terms=b"c=look,t=plan,d=9,units=1,spread=1")),
-    ("name=value", said(terms=b"c=look,t=plan,d=9,,units=1,spread=1,first=0")),
-    ("name=value", said(terms=b"c=look,c=order,t=plan,d=9,units=1,spread=1,first=0")),
-    ("ASCII", said(terms=b"c=look\xff,t=plan,d=9,units=1,spread=1,first=0")),
-    ("'k' is missing", said(b"Q.DO", b"c=order,t=plan,d=9,units=1,spread=1,first=0")),
-    ("go with the command", said(b"Q.DO")),
-    ("go with the command", said(b"Q.ASK", b"c=pay,t=plan,d=9,units=1,spread=1,first=0")),
-    ("16 hex", said(customer=b"00000000b4d6552x")),
-    ("below 2^33", said(customer=b"0000000200000000")),
-    ("beyond the largest", said(terms=b"c=look,t=plan,d=9,units=7,spread=1,first=0")),
-    ("no set", said(terms=b"c=look,t=plan,d=9,units=1,spread=2,first=0")),
-    ("no set", said(terms=b"c=look,t=plan,d=9,units=1,spread=1,first=1")),
-    ("has 4 words", said() .replace(b"*4", b"*5") + b"$4\r\nBODY\r\n"),
-    ("has 5 words", array(b"Q.DO", b"00000000b4d65521", b"7", b"c=pay,t=plan,d=9,units=1,spread=1,first=0")),
-    ("the id is", said(number=b"a b")),
-])
+@pytest.mark.parametrize(
+    ("wrong", "raw"),
+    [
+        ("'c' names no lane", said(terms=b"c=nap,t=plan,d=9,units=1,spread=1,first=0")),
+        ("'c' is missing", said(terms=b"t=plan,d=9,units=1,spread=1,first=0")),
+        ("'t' names no plan", said(terms=b"c=look,t=none,d=9,units=1,spread=1,first=0")),
+        ("'d' is missing", said(terms=b"c=look,t=plan,units=1,spread=1,first=0")),
+        ("'d' is not a whole", said(terms=b"c=look,t=plan,d=9.5,units=1,spread=1,first=0")),
+        ("'d' is no number", said(terms=b"c=look,t=plan,d=-9,units=1,spread=1,first=0")),
+        ("'d' is no number", said(terms=b"c=look,t=plan,d=1_0,units=1,spread=1,first=0")),
+        ("'first' is no number", said(terms=b"c=look,t=plan,d=9,units=1,spread=1,first=1e9")),
+        ("'units' is no number", said(terms=b"c=look,t=plan,d=9,units=nan,spread=1,first=0")),
+        ("above 0", said(terms=b"c=look,t=plan,d=9,units=0,spread=1,first=0")),
+        ("no set", said(terms=b"c=look,t=plan,d=9,units=1,spread=0,first=0")),
+        ("'first' is missing", said(terms=b"c=look,t=plan,d=9,units=1,spread=1")),
+        ("name=value", said(terms=b"c=look,t=plan,d=9,,units=1,spread=1,first=0")),
+        ("name=value", said(terms=b"c=look,c=order,t=plan,d=9,units=1,spread=1,first=0")),
+        ("ASCII", said(terms=b"c=look\xff,t=plan,d=9,units=1,spread=1,first=0")),
+        ("'k' is missing", said(b"Q.DO", b"c=order,t=plan,d=9,units=1,spread=1,first=0")),
+        ("go with the command", said(b"Q.DO")),
+        ("go with the command", said(b"Q.ASK", b"c=pay,t=plan,d=9,units=1,spread=1,first=0")),
+        ("16 hex", said(customer=b"00000000b4d6552x")),
+        ("below 2^33", said(customer=b"0000000200000000")),
+        ("beyond the largest", said(terms=b"c=look,t=plan,d=9,units=7,spread=1,first=0")),
+        ("no set", said(terms=b"c=look,t=plan,d=9,units=1,spread=2,first=0")),
+        ("no set", said(terms=b"c=look,t=plan,d=9,units=1,spread=1,first=1")),
+        ("has 4 words", said().replace(b"*4", b"*5") + b"$4\r\nBODY\r\n"),
+        (
+            "has 5 words",
+            array(b"Q.DO", b"00000000b4d65521", b"7", b"c=pay,t=plan,d=9,units=1,spread=1,first=0"),
+        ),
+        ("the id is", said(number=b"a b")),
+    ],
+)
 def test_a_bad_submission_is_refused_by_name(wrong: str, raw: bytes) -> None:
     assert wrong in wrong_with(raw)
 
 
-@pytest.mark.parametrize(("raw", "outcome", "value", "actual"), [
-    (b"*3\r\n$2\r\nhi\r\n$14\r\nused=37,cost=4\r\n$-1\r\n", "ok", b"$2\r\nhi\r\n", 4),
-    (b"*3\r\n$0\r\n\r\n$-1\r\n$-1\r\n", "ok", b"$0\r\n\r\n", 0),
-    (b"*3\r\n$2\r\nhi\r\n$10\r\ncost=1.2.3\r\n$5\r\n\xff=\n=,\r\n", "ok", b"$2\r\nhi\r\n", 0),
-    (b"-ERR bad request\r\n", "withdrawn", b"-ERR refused by the app server\r\n", 0),
-    (b"*3\r\n$2\r\nhi\r\n$-1\r\n$23\r\ninflight=7,queue=2,x=.6\r\n", "ok", b"$2\r\nhi\r\n", 0),
-    (b"-ERR failed used=3\r\n", "error", b"", 0), (b"-BUSY\r\n", "full", b"", 0),
-])
+@pytest.mark.parametrize(
+    ("raw", "outcome", "value", "actual"),
+    [
+        (b"*3\r\n$2\r\nhi\r\n$14\r\nused=37,cost=4\r\n$-1\r\n", "ok", b"$2\r\nhi\r\n", 4),
+        (b"*3\r\n$0\r\n\r\n$-1\r\n$-1\r\n", "ok", b"$0\r\n\r\n", 0),
+        (b"*3\r\n$2\r\nhi\r\n$10\r\ncost=1.2.3\r\n$5\r\n\xff=\n=,\r\n", "ok", b"$2\r\nhi\r\n", 0),
+        (b"-ERR bad request\r\n", "withdrawn", b"-ERR refused by the app server\r\n", 0),
+        (b"*3\r\n$2\r\nhi\r\n$-1\r\n$23\r\ninflight=7,queue=2,x=.6\r\n", "ok", b"$2\r\nhi\r\n", 0),
+        (b"-ERR failed used=3\r\n", "error", b"", 0),
+        (b"-BUSY\r\n", "full", b"", 0),
+    ],
+)
 def test_answers_of_app_servers(raw: bytes, outcome: str, value: bytes, actual: float) -> None:
     found = answer_at(bytearray(raw), 0, len(raw), {"inflight": "held"})
     assert found is not None and found[1] == len(raw)
@@ -115,10 +137,23 @@
     assert all(answer_at(bytearray(raw), 0, stop, {}) is None for stop in range(len(raw)))
 
 
-@pytest.mark.parametrize("raw", [
-    b"*3\r\n$-1\r\n$-1\r\n$-1\r\n", b"*0\r\n", b"+OK\r\n", b":5\r\n", b"*1000000000\r\n",
-    b"*3\r\n$3000000000\r\n", b"*3\r\n$4\r\nabcdefgh\r\n", b"*3\r\n$-7\r\n", b"-BUSYx\r\n", b"-BUSY \xff\r\n",
-    b"-\x07noise\r\n", b"-" + b"x" * 600])
+@pytest.mark.parametrize(
+    "raw",
+    [
+        b"*3\r\n$-1\r\n$-1\r\n$-1\r\n",
+        b"*0\r\n",
+        b"+OK\r\n",
+        b":5\r\n",
+        b"*1000000000\r\n",
+        b"*3\r\n$3000000000\r\n",
+        b"*3\r\n$4\r\nabcdefgh\r\n",
+        b"*3\r\n$-7\r\n",
+        b"-BUSYx\r\n",
+        b"-BUSY \xff\r\n",
+        b"-\x07noise\r\n",
+        b"-" + b"x" * 600,
+    ],
+)
 def test_spoilt_answers_of_app_servers(raw: bytes) -> None:
     """Guards against one that counts as never run, or that leaves a connection in use that is of none."""
     with pytest.raises(Malformed):
@@ -209,10 +244,17 @@
         assert not stream.quiet()
 
 
-@pytest.mark.parametrize("row, read", [
-    ("used=37,cost=4", {"used": 37.0, "cost": 4.0}), ("cost=1.2.3", {}), ("cost=nan,used=2", {"used": 2.0}),
-    ("", {}), ("cost=-2", {"cost": -2.0}), ("cost=1e9", {}),
-])
+@pytest.mark.parametrize(
+    "row, read",
+    [
+        ("used=37,cost=4", {"used": 37.0, "cost": 4.0}),
+        ("cost=1.2.3", {}),
+        ("cost=nan,used=2", {"used": 2.0}),
+        ("", {}),
+        ("cost=-2", {"cost": -2.0}),
+        ("cost=1e9", {}),
+    ],
+)
 def test_figures_that_can_not_be_read_are_dropped(row: str, read: dict[str, float]) -> None:
     assert figures(row) == read
 
@@ -262,27 +304,42 @@
     return {"classes": [{"name": "look", "deadlineS": 2}], "tariffs": [{"name": "plan"}], **changes}
 
 
-@pytest.mark.parametrize(("key", "changes"), [
-    ("listen: 'here'", {"listen": "here"}), ("listen: '1.2.3.4:70000'", {"listen": "1.2.3.4:70000"}),
-    ("listen: '1.2.3.4:-1'", {"listen": "1.2.3.4:-1"}), ("listen: '1.2.3.4:0'", {"listen": "1.2.3.4:0"}),
-    ("discovery: is missing", {"discovery": None}), ("seed: 'x'", {"seed": "x"}),
-    ("peers.1: 7", {"peers": ["1.2.3.4:1", 7]}), ("peers: is no list", {"peers": "a:1"}),
-    ("limits.sockets: 'many'", {"limits": {"sockets": "many"}}),
-    ("known: no list", {"known": {"index": 1}}),
-    ("known: app server s: address: 'no'", {"known": {"index": 1, "endpoints": [
-        {"name": "s", "status": "SERVING", "address": "no"}]}}),
-    ("known: field 'status'", {"known": {"index": 1, "endpoints": [{"name": "s", "status": "UP"}]}}),
-    ("settings: is no object", {"settings": 3}), ("settings.classes: is missing", {"settings": {}}),
-    ("classes.0.deadlineS", {"settings": settings(classes=[{"name": "look", "deadlineS": "long"}])}),
-    ("classes.0.repeat", {"settings": settings(classes=[{"name": "a", "deadlineS": 1, "repeat": "maybe"}])}),
-    ("settings.classes.0: aimS", {"settings": settings(classes=[{"name": "a", "deadlineS": 0}])}),
-    ("settings.tariffs.0: a quota", {"settings": settings(tariffs=[{"name": "p", "unitsPerS": -1}])}),
-    ("settings.balancers: 0", {"settings": settings(balancers=0)}),
-    ("counter: is missing", {"settings": settings(familyInfo={"mayCount": True})}),
-    ("node.queue: 0", {"node": {"queue": 0}}), ("node.queue: 2.5", {"node": {"queue": 2.5}}),
-    ("node.idle_share: 1.5", {"node": {"idle_share": 1.5}}),
-    ("node.watch_s: 'x'", {"node": {"watch_s": "x"}}), ("node.tempo: there", {"node": {"tempo": 1}}),
-])
+@pytest.mark.parametrize(
+    ("key", "changes"),
+    [
+        ("listen: 'here'", {"listen": "here"}),
+        ("listen: '1.2.3.4:70000'", {"listen": "1.2.3.4:70000"}),
+        ("listen: '1.2.3.4:-1'", {"listen": "1.2.3.4:-1"}),
+        ("listen: '1.2.3.4:0'", {"listen": "1.2.3.4:0"}),
+        ("discovery: is missing", {"discovery": None}),
+        ("seed: 'x'", {"seed": "x"}),
+        ("peers.1: 7", {"peers": ["1.2.3.4:1", 7]}),
+        ("peers: is no list", {"peers": "a:1"}),
+        ("limits.sockets: 'many'", {"limits": {"sockets": "many"}}),
+        ("known: no list", {"known": {"index": 1}}),
+        (
+            "known: app server s: address: 'no'",
+            {"known": {"index": 1, "endpoints": [{"name": "s", "status": "SERVING", "address": "no"}]}},
+        ),
+        ("known: field 'status'", {"known": {"index": 1, "endpoints": [{"name": "s", "status": "UP"}]}}),
+        ("settings: is no object", {"settings": 3}),
+        ("settings.classes: is missing", {"settings": {}}),
+        ("classes.0.deadlineS", {"settings": settings(classes=[{"name": "look", "deadlineS": "long"}])}),
+        (
+            "classes.0.repeat",
+            {"settings": settings(classes=[{"name": "a", "deadlineS": 1, "repeat": "maybe"}])},
+        ),
+        ("settings.classes.0: aimS", {"settings": settings(classes=[{"name": "a", "deadlineS": 0}])}),
+        ("settings.tariffs.0: a quota", {"settings": settings(tariffs=[{"name": "p", "unitsPerS": -1}])}),
+        ("settings.balancers: 0", {"settings": settings(balancers=0)}),
+        ("counter: is missing", {"settings": settings(familyInfo={"mayCount": True})}),
+        ("node.queue: 0", {"node": {"queue": 0}}),
+        ("node.queue: 2.5", {"node": {"queue": 2.5}}),
+        ("node.idle_share: 1.5", {"node": {"idle_share": 1.5}}),
+        ("node.watch_s: 'x'", {"node": {"watch_s": "x"}}),
+        ("node.tempo: there", {"node": {"tempo": 1}}),
+    ],
+)
 def test_a_faulty_configuration_names_its_key(key: str, changes: dict[str, object]) -> None:
     given: dict[str, object] = {"name": "n", "listen": "1.2.3.4:1", "discovery": "1.2.3.4:2", "seed": "ff"}
     given |= {"settings": settings()} | changes
@@ -292,8 +349,10 @@
 
 
 def test_variables_stand_in_for_keys_and_defaults_hold() -> None:
-    told = deployment_of({"seed": "0f", "settings": settings()},
-                         {"LB_NAME": "n3", "LB_LISTEN": "1.2.3.4:5", "LB_DISCOVERY": "1.2.3.4:6"})
+    told = deployment_of(
+        {"seed": "0f", "settings": settings()},
+        {"LB_NAME": "n3", "LB_LISTEN": "1.2.3.4:5", "LB_DISCOVERY": "1.2.3.4:6"},
+    )
     assert (told.name, told.listen, told.discovery, told.seed) == ("n3", ("1.2.3.4", 5), ("1.2.3.4", 6), 15)
     assert told.bounds == bounds_of({}) and told.counter is None and told.known == ()
 
@@ -310,9 +369,16 @@
         read_deployment(environment)
 
 
-@pytest.mark.parametrize("body", ["[]", "{}", '{"index": "x", "endpoints": []}',
-                                  '{"index": 1, "endpoints": [3]}',
-                                  '{"index": 1, "endpoints": [{"name": "s", "status": "SERVING"}]}'])
+@pytest.mark.parametrize(
+    "body",
+    [
+        "[]",
+        "{}",
+        '{"index": "x", "endpoints": []}',
+        '{"index": 1, "endpoints": [3]}',
+        '{"index": 1, "endpoints": [{"name": "s", "status": "SERVING"}]}',
+    ],
+)
 def test_malformed_lists_of_discovery(body: str) -> None:
     with pytest.raises(Malformed):
         page(json.loads(body))
@@ -347,8 +413,10 @@
     keeper.timers, keeper.fleet, keeper.right = Mock(), Mock(), Mock()
     keeper.right.may_take.return_value = True
     keeper.right.may_send.return_value = False
-    keeper.listed(page({"index": 1, "endpoints": [
-        {"name": "s", "status": "SERVING", "address": "127.0.0.1:1"}]})[2], True)
+    keeper.listed(
+        page({"index": 1, "endpoints": [{"name": "s", "status": "SERVING", "address": "127.0.0.1:1"}]})[2],
+        True,
+    )
     one = taken(said())
     one.ends = keeper.clock.now() + 1.0
     keeper.take(one)
--- a/tests/test_throttler.py
+++ b/tests/test_throttler.py
@@ -160,7 +160,7 @@
     at = gateway()
     at.customers["c"].heard = 0.0
     handle = take(at)
-    (name, claimed, _), = at.take_results(100.0).adds
+    ((name, claimed, _),) = at.take_results(100.0).adds
     assert not handle.closed and claimed == 1.0
     full = PLAN.rate * at.customers["c"].epoch(100.0)[1] + PLAN.burst
     at.counted(100.01, name, "ok", full + 1.0, 0.005)
@@ -172,7 +172,7 @@
     at = gateway()
     at.customers["c"].heard = 0.0
     take(at)
-    (name, _, _), = at.take_results(100.0).adds
+    ((name, _, _),) = at.take_results(100.0).adds
     at.counted(100.05, name, "timed_out", 0.0, 0.05)
     assert at.take_results(100.05).sends
 
@@ -183,7 +183,7 @@
     one = at.customers["c"]
     one.heard = 0.0
     take(at)
-    (name, _, _), = at.take_results(100.0).adds
+    ((name, _, _),) = at.take_results(100.0).adds
     at.counted(100.05, name, "timed_out", 0.0, 0.05)
     at.counted_late(100.06, name, PLAN.rate * one.epoch(100.06)[1] + PLAN.burst - 2.0)
     assert one.heard == 100.06 and one.store == pytest.approx(2.0)
@@ -279,13 +279,14 @@
 
 @pytest.mark.parametrize("drawn, least, most", [(0.0, 200, 200), (99.0, 0, 30)], ids=["full", "empty"])
 def test_first_sights_are_let_in_unasked_as_far_as_first_news_tell_of_room(
-        drawn: float, least: int, most: int) -> None:
+    drawn: float, least: int, most: int
+) -> None:
     """Of hundreds of gateways each let one in where it could not ask, a fifth of all units beyond quotas."""
     at = gateway(gateways=150, may_count=True, plan=replace(PLAN, ceiling_rate=0.0, beyond_cost=1.0))
     for number in range(60):
         at.pace = at.calls = 9.0
         at.take(100.0, number, "lane", f"asked{number}", "plan", 4.0, 1.0, 150)
-        (name, one), = at.asking.items()
+        ((name, one),) = at.asking.items()
         at.counted(100.0, name, "ok", one.epoch(100.0)[1] * PLAN.rate + drawn + (one.asked or 0.0), 0.001)
         at.asking.clear()
     at.calls, at.pace, at.paced_at, let_in = 0.0, 0.0, 100.0, 0
