Connections are accepted promptly with descriptors full; a request's age counts from its arrival

What waited there was read as just come (read_at, and _read_on moved it forward), and its client's end stood behind it. Excluded: processor time (0.43 of the core in the busiest second), the keeper's queue, app servers' connections (20 of 224).

--- a/merlintally/net/clients.py
+++ b/merlintally/net/clients.py
@@ -13,16 +13,21 @@
 from anyio.abc import TaskGroup
 
 from merlintally.fields import Malformed
+from merlintally.net.admission import Admission, AdmissionLimits, Eviction
+from merlintally.net.client_stream import ClientStream
+from merlintally.net.closures import NO_DESCRIPTOR, NO_REQUEST, Closures
 from merlintally.net.configuration import Deployment
 from merlintally.net.log import Log
 from merlintally.net.phases import Phase, Phases
+from merlintally.net.polling import ready_times
 from merlintally.net.post import Owner
 from merlintally.net.resp import Span, array_at
-from merlintally.net.sockets import Allowance, Buffer, Stream, prepared
+from merlintally.net.sockets import Allowance, Buffer, prepared
 from merlintally.net.taken import COMMANDS, Due, Taken
 from merlintally.net.timers import Clock
 
 AT_ONCE, LINGERING = 16, 8  # connections accepted, and reads of one that is to be closed, in a row
+MADE_ROOM = 2 * AT_ONCE  # connections closed at once where descriptors run short
 ASIDE = (b"PING", b"CLIENT", b"SELECT", b"QUIT")
 SCARCE = {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM}
 
@@ -35,10 +40,21 @@
 class Client:
     """One connection. Guards against answers that overtake: each command has its place among those due."""
 
-    def __init__(self, clients: Clients, sock: socket.socket) -> None:
-        self.clients, self.stream = clients, Stream(sock, clients.held)
+    def __init__(
+        self,
+        clients: Clients,
+        sock: socket.socket,
+        came_after: float | None = None,
+        admission: Admission = Admission.STAYS,
+    ) -> None:
+        """`came_after`: Unix seconds at which the connection was not there yet; the present if None."""
+        now = clients.clock.now()
+        self.clients, self.admission = clients, admission
+        self.stream = ClientStream(
+            sock, clients.held, clients.clock, clients.ready_times, now if came_after is None else came_after
+        )
         self.due: deque[Due] = deque()
-        self.moved_at = clients.clock.now()  # when it last made headway, in either direction
+        self.moved_at = now  # when it last made headway, in either direction
         self.read_at = self.moved_at  # when something of it was last read
         self.whole_by = self.moved_at + clients.bounds.client_patience_s  # the command that is being read
         self.closing = self.ended = False
@@ -56,6 +72,16 @@
         except OSError:
             return "one that has gone"
 
+    @property
+    def address(self) -> str:
+        """Where it comes from, without the port."""
+        return self.who.partition(":")[0]
+
+    @property
+    def idle(self) -> bool:
+        """Whether it is owed nothing, as far as was read."""
+        return not self.due and not self.stream.unsent and not self.ended
+
     @property
     def finished(self) -> bool:
         """Whether all that it was owed is written, and the end behind it."""
@@ -100,14 +126,14 @@
                         raise Malformed("a command is beyond what is allowed")
                     return
                 spans, stop = found
-                first, stream.start = stream.start, stop
+                first, came_at = stream.start, stream.use(stop)
                 self._begins()
                 if not spans:
                     await self._fault()
                 else:
                     raw = bytes(memoryview(stream.buffer)[first:stop])
                     words = [(one[0] - first, one[1] - first) for one in spans if one is not None]
-                    await self._command(raw, words if len(words) == len(spans) else [(0, 0)])
+                    await self._command(raw, words if len(words) == len(spans) else [(0, 0)], came_at)
         except Malformed as wrong:  # the framing is lost: answer what was taken before, and close
             self.clients.log.say(f"client {self.who}: {wrong}; its connection is closed", "client.closed")
             self.due.append(Due([b"-ERR Protocol error: %b\r\n" % plain(wrong)]))
@@ -119,17 +145,23 @@
         if self.known:
             self.whole_by = self.read_at + self.clients.bounds.client_patience_s
 
-    async def _command(self, raw: bytes, words: list[Span]) -> None:
+    async def _command(self, raw: bytes, words: list[Span], came_at: float) -> None:
+        """One whole command, the last byte of which came at `came_at` at the earliest."""
         name, clients = raw[words[0][0] : words[0][1]].upper(), self.clients
         if name in COMMANDS:
             try:
-                taken = Taken(self, raw, words, clients.facts, self.read_at)
+                taken = Taken(self, raw, words, clients.facts, came_at)
             except Malformed as wrong:
                 self.due.append(Due([b"-ERR %b\r\n" % plain(wrong)]))
                 self.pass_on()
                 await self._fault()
             else:
                 self.known, self.faults = True, 0
+                self.retiring = self.retiring or self.admission is not Admission.STAYS
+                if self.admission is Admission.REJECTED and not clients.give_way(urgent=True):
+                    self.due.append(Due([b"-BUSY\r\n"]))
+                    self.pass_on()
+                    return
                 self.due.append(taken)
                 clients.held.take(taken.size)
                 await clients.keeper.post(clients.keeper.take, taken)
@@ -180,12 +212,12 @@
             await self._watching(self._until_passed)
         if self.ended:
             return
-        self.stream.start = self.stream.end = 0
+        self.stream.throw_away()
         with anyio.move_on_after(self.clients.bounds.linger_s):
             for _ in range(LINGERING):
                 if not await self.stream.receive():
                     break
-                self.stream.start = self.stream.end = 0
+                self.stream.throw_away()
 
     def _aside(self, name: bytes) -> bytes:
         """What is spoken beside submissions."""
@@ -281,71 +313,79 @@
         group: TaskGroup,
         descriptors: Allowance,
         held: Allowance,
+        listening_since: float | None = None,
     ) -> None:
+        """`listening_since`: Unix seconds from which on connections may wait; the present if None."""
         self.listener, self.phases, self.bounds = listener, phases, deployment.bounds
         self.keeper, self.clock, self.log, self.group = keeper, clock, log, group
         self.descriptors, self.held = descriptors, held
         self.facts = deployment.facts
         self.connections: dict[Client, None] = {}
+        self.closures = Closures()
+        self.ready_times = ready_times()
+        self.limits = AdmissionLimits.of(descriptors.most, self.bounds.client_reserve_share)
+        self.eviction: Eviction[Client] = Eviction(self.bounds.client_rest_s, self.bounds.client_silent_s)
+        # When the listener's backlog was last seen empty: what waits in it came later.
+        self.backlog_empty_at = clock.now() if listening_since is None else listening_since
 
     async def accept(self) -> None:
-        """Take connections; at the most that may be, an idle one gives way, else new ones wait outside."""
+        """Take connections as they come. Guards against requests that wait in the backlog while their time
+        passes: where descriptors run short, idle connections are closed for new ones, many at once."""
         while True:
-            if self.descriptors.full:
-                if not self.give_way():
-                    self.log.say(
-                        "no descriptors are left for clients, and none of them is idle", "clients.descriptors"
-                    )
+            if self.descriptors.held >= self.limits.stay:
+                self.give_way(MADE_ROOM)
+            if self.descriptors.full and not self.give_way(MADE_ROOM, urgent=True):
+                self.log.say(
+                    "no descriptors are left for clients, and none of them is idle", "clients.descriptors"
+                )
                 with anyio.move_on_after(self.bounds.again_s):  # one may fall idle meanwhile
                     await self.descriptors.room()
                 continue
+            if self.descriptors.full:
+                await self.descriptors.room()  # those just ended are closed by their own tasks
             await anyio.wait_readable(self.listener)
+            ready_since = self.ready_times.since(self.listener.fileno()) + self.clock.offset
+            self.backlog_empty_at = max(self.backlog_empty_at, ready_since)
             scarce = self.accept_all(AT_ONCE)
             await anyio.sleep(0)  # guards against others kept waiting where hundreds connect at once
             if scarce:  # guards against a loop that spins on a listener it can't accept from
                 self.log.say(f"no connection can be accepted: {scarce.strerror}", "clients.accept")
-                self.give_way()
+                self.give_way(MADE_ROOM, urgent=True)
                 await anyio.sleep(self.bounds.again_s)
 
     def accept_all(self, most: int = 1 << 30, beyond: bool = False) -> OSError | None:
-        """`beyond`: also those for which no descriptors are meant."""
+        """Accept up to `most`; `beyond`: also those for which no descriptors are meant."""
         for _ in range(most):
-            if self.descriptors.full and not beyond:
+            admission = self.limits.admit(self.descriptors.held)
+            if admission is Admission.WAITS and not beyond:
                 break
             try:
                 sock, _ = self.listener.accept()
             except (BlockingIOError, InterruptedError):
+                self.backlog_empty_at = self.clock.now()
                 return None
             except OSError as wrong:
                 if wrong.errno in SCARCE:
                     return wrong
                 continue  # the client went away before it was accepted
             self.descriptors.take()
-            client = Client(self, prepared(sock))
+            client = Client(self, prepared(sock), self.backlog_empty_at, admission)
             self.connections[client] = None
             self.group.start_soon(client.run)
         return None
 
-    def give_way(self) -> bool:
-        """Close the connection that is needed least: one that is closing, one that has brought nothing, or
-        the one idle for longest. False if there is none."""
-        now, bounds = self.clock.now(), self.bounds
-        rows = [
-            (not client.closing, client.known, client.moved_at, number, client)
-            for number, client in enumerate(self.connections)
-            if not client.due
-            and not client.stream.unsent
-            and not client.ended
-            and (
-                client.closing
-                or now - client.moved_at > (bounds.client_rest_s if client.known else bounds.client_silent_s)
-            )
-        ]
-        for *_, client in sorted(rows):
+    def give_way(self, most: int = 1, urgent: bool = False) -> int:
+        """Close up to `most` of the connections that are needed least; gives how many."""
+        closed = 0
+        for client in self.eviction.candidates(self.connections, self.clock.now(), urgent):
+            if closed == most:
+                break
             if client.closing or client.stream.quiet():  # else what makes it whole may have come
+                if not client.known:
+                    self.closures.add(NO_DESCRIPTOR, client.address)
                 client.end()
-                return True
-        return False
+                closed += 1
+        return closed
 
     def sweep(self) -> None:
         """Guards against connections held for good: in silence, by a command that never becomes whole,
@@ -359,13 +399,11 @@
                     client.end()
             elif not client.due and begun and now > client.whole_by:
                 if stream.quiet():  # else what makes it whole may have come
-                    self.log.say(
-                        f"client {client.who}: no whole command in time; its connection is closed",
-                        "client.closed",
-                    )
+                    self.closures.add(NO_REQUEST, client.address)
                     client.end()
             elif still > bounds.client_idle_s and client.rests:
                 client.retire()
+        self.closures.tell(self.log)
 
     def stop_listening(self) -> None:
         """Guards against connections lost between the kernel and the node: all that came are taken first."""
--- a/merlintally/net/configuration.py
+++ b/merlintally/net/configuration.py
@@ -13,6 +13,7 @@
 from merlintally.interface import Presence, ServerFacts, StartFacts
 
 Address = tuple[str, int]
+LEAST_DESCRIPTORS = 8  # for clients, and for app servers
 PRESENCES: dict[str, Presence] = {"SERVING": "on", "DRAINING": "draining", "DELETED": "gone"}
 
 
@@ -37,6 +38,7 @@
     held_share: float = 0.2  # of the memory, for commands and answers held; beyond it nothing more is read
     kept_back: int = 32  # descriptors for all that is neither a client nor an app server
     client_share: float = 0.65  # of all others, for clients: for those with something open, and to stay
+    client_reserve_share: float = 0.125  # of the clients' descriptors, for connections that do not stay
     idle_share: float = 0.4  # of the app servers' stated idle time, after which a connection is retired
     rest_s: float = 0.02  # after an answer, until the connection of an app server is used again
     stall_s: float = 0.25  # without more of an answer that has begun to come, after which it is given up
@@ -88,6 +90,16 @@
     pushed: bool = False  # lists are, to an agent on this machine
     bounds: Bounds = field(default_factory=Bounds)
 
+    @property
+    def client_descriptors(self) -> int:
+        """How many descriptors clients may hold."""
+        return int((self.sockets - self.bounds.kept_back) * self.bounds.client_share)
+
+    @property
+    def server_descriptors(self) -> int:
+        """How many descriptors connections to app servers may hold."""
+        return self.sockets - self.bounds.kept_back - self.client_descriptors
+
 
 FIXED = {  # what can't change while the node runs, by the keys that it is read from
     "name": "name",
@@ -262,7 +274,7 @@
         raise Faulty(f"limits.memory_mb: {memory!r} is no number of 8 or more")
     if facts.may_count and given.get("counter") is None:
         raise Faulty("counter: is missing, and settings.familyInfo.mayCount says that there is one")
-    return Deployment(
+    found = Deployment(
         name=str(value("name", "LB_NAME")),
         listen=address(value("listen", "LB_LISTEN"), "listen"),
         discovery=address(value("discovery", "LB_DISCOVERY"), "discovery"),
@@ -283,6 +295,12 @@
         pushed=info.get("discovery") == "pushed",
         bounds=bounds,
     )
+    if min(found.client_descriptors, found.server_descriptors) < LEAST_DESCRIPTORS:
+        raise Faulty(
+            f"limits.sockets: {sockets!r} leaves {found.client_descriptors} for clients and "
+            f"{found.server_descriptors} for app servers, and {LEAST_DESCRIPTORS} each is the least"
+        )
+    return found
 
 
 def read_deployment(environment: Mapping[str, str]) -> Deployment:
--- a/merlintally/net/node.py
+++ b/merlintally/net/node.py
@@ -7,6 +7,7 @@
 import signal
 import socket
 import sys
+import time
 import traceback
 from collections.abc import Awaitable, Callable, Iterable
 from contextlib import ExitStack
@@ -23,10 +24,12 @@
 from merlintally.net.log import Log
 from merlintally.net.peers import Peers
 from merlintally.net.phases import Phase, Phases
+from merlintally.net.polling import ObservedLoop
 from merlintally.net.servers import Fleet
 from merlintally.net.sockets import Allowance
 from merlintally.net.timers import Clock, Timers
 
+LEAST_BACKLOG, MOST_BACKLOG = 128, 1024  # connections that the system accepted and the node has not
 Part = Callable[["EdgeNode", Keeper], Awaitable[None]]
 
 
@@ -42,13 +45,17 @@
         self.log = log or Log(deployment.name, deployment.bounds.log_lines)
         self.phases = Phases()
         self.listener: socket.socket | None = None
+        self.listening_since = 0.0  # monotonic seconds
         self.peer_sock: socket.socket | None = None
         self.discovery: Discovery | None = None
         self.counter: Counter | None = None
 
     def bind(self) -> None:
         """Take the addresses to listen at, or raise OSError. `serve` does it where it was not done."""
-        self.listener = socket.create_server(self.deployment.listen, backlog=1024)
+        self.listening_since = time.monotonic()
+        # With those that wait, clients hold no more than the limit of descriptors while app servers need few.
+        backlog = min(MOST_BACKLOG, max(LEAST_BACKLOG, self.deployment.server_descriptors))
+        self.listener = socket.create_server(self.deployment.listen, backlog=backlog)
         self.listener.setblocking(False)
         if self.deployment.peer_listen is not None:
             self.peer_sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -98,13 +105,20 @@
         discovery = self.discovery = Discovery(
             told.discovery, told.known_index, bounds, keeper, keeper.gateway.random, log, told.pushed
         )
-        most_clients = int((told.sockets - bounds.kept_back) * bounds.client_share)
-        most_links = told.sockets - bounds.kept_back - most_clients
         async with anyio.create_task_group() as group:
             held = Allowance(int(told.memory * bounds.held_share))
-            fleet = Fleet(told, keeper, clock, log, group, Allowance(most_links), held)
+            fleet = Fleet(told, keeper, clock, log, group, Allowance(told.server_descriptors), held)
             clients = Clients(
-                told, listener, self.phases, keeper, clock, log, group, Allowance(most_clients), held
+                told,
+                listener,
+                self.phases,
+                keeper,
+                clock,
+                log,
+                group,
+                Allowance(told.client_descriptors),
+                held,
+                self.listening_since + clock.offset,
             )
             keeper.fleet = fleet
             tasks: list[Callable[[], Awaitable[None]]] = [
@@ -223,7 +237,13 @@
         print(f"merlintally: {wrong}", file=sys.stderr)
         return 2
     try:
-        anyio.run(run_program, deployment, make_log(deployment) if make_log else None, parts)
+        anyio.run(
+            run_program,
+            deployment,
+            make_log(deployment) if make_log else None,
+            parts,
+            backend_options={"loop_factory": ObservedLoop},
+        )
     except OSError as wrong:
         print(f"merlintally: can't serve: {wrong}", file=sys.stderr)
         return 1
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -19,6 +19,7 @@
 from merlintally.net import Deployment, EdgeNode
 from merlintally.net.configuration import Listed, deployment_of, page
 from merlintally.net.log import Log
+from merlintally.net.polling import ObservedLoop
 from merlintally.net.resp import array, array_at
 from merlintally.net.taken import Taken
 
@@ -277,7 +278,7 @@
                 await act(Scene(node))
             group.cancel_scope.cancel()
 
-    anyio.run(scene)
+    anyio.run(scene, backend_options={"loop_factory": ObservedLoop})
     for standin in standins:
         standin.sock.close()
     return log.getvalue()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -39,6 +39,7 @@
 from merlintally.net.log import Log
 from merlintally.net.node import reread
 from merlintally.net.phases import Phase
+from merlintally.net.polling import ReadyTimes
 from merlintally.net.resp import array, bulk
 from merlintally.net.sockets import Allowance
 from merlintally.net.taken import Due
@@ -181,7 +182,9 @@
                 await scene.hear(sock)
 
     log = play(told(known=known(at), bounds=bounds), act, at)
-    assert log.count("no whole command in time") == 4 and "client 127.0.0.1:" in log
+    told_of = [line.split(" with no whole command in time") for line in log.splitlines()]
+    closed = [int(line[0].split()[-1]) for line in told_of if len(line) == 2]
+    assert sum(closed) == 4 and "client 127.0.0.1 " in log
 
 
 def test_one_that_repeats_what_is_turned_away_is_slowed_and_closed() -> None:
@@ -640,7 +643,9 @@
     """Guards against memory without a bound: beyond what may be held no client is read."""
     ours, theirs = socket.socketpair()
     ours.setblocking(False)
-    clients: Any = SimpleNamespace(held=Allowance(1 << 20), clock=Clock(), bounds=Bounds(), group=Mock())
+    clients: Any = SimpleNamespace(
+        held=Allowance(1 << 20), clock=Clock(), bounds=Bounds(), group=Mock(), ready_times=ReadyTimes()
+    )
     client = Client(clients, ours)
     client.due.append(Due([b"x" * (8 << 20)]))
     with theirs:
