The laboratory in packages by what they do, without circles of imports

`merlintally/lab` had 23 modules on one floor and three circles of imports: baselines, builds, maintenance, nodes, troubles and world; front and referee; live/play, live/processes and live/standins. Some were hidden by imports for type checkers or within functions.

What two modules needed of each other is below both: requests (Customer, First, Try), builds/base (Build and the protocol TrueState), live/emulator (the protocol Emulator).

--- a/merlintally/cli/checking.py
+++ b/merlintally/cli/checking.py
@@ -22,7 +22,7 @@
 def form_of(kind: str) -> type[msgspec.Struct]:
     """The struct behind a kind of TOML file."""
     if kind == "day":
-        from merlintally.lab.days import Day
+        from merlintally.lab.model.days import Day
 
         return Day
     if kind == "profile":
@@ -51,7 +51,7 @@
 def document_of(path: Path, kind: str) -> dict[str, Any]:
     """The file's table; a day's with what it takes from another."""
     if kind == "day":
-        from merlintally.lab.days import load_day
+        from merlintally.lab.model.days import load_day
 
         return load_day(path)
     return load(path)
--- a/merlintally/cli/lab.py
+++ b/merlintally/cli/lab.py
@@ -15,9 +15,10 @@
 
 from merlintally.cli.front import Lazy, told
 from merlintally.forms import Faults
-from merlintally.lab.baselines import BASELINES
-from merlintally.lab.days import read_day, shipped
-from merlintally.lab.play import Result, play
+from merlintally.lab.builds.baselines import BASELINES
+from merlintally.lab.model.days import read_day, shipped
+from merlintally.lab.play.simulation import play
+from merlintally.lab.tell.results import Result
 from merlintally.operators import LabPart, read_operators
 
 BROKEN = 3  # exit code
@@ -156,7 +157,7 @@
     as_json: bool,
 ) -> int:
     """Play DAY once. Exit code 3 if a rule was broken."""
-    from merlintally.lab.results import ResultsFile
+    from merlintally.lab.tell.results import ResultsFile
 
     found = read_day(day).at_size(gateways, seconds)
     if real:
@@ -223,7 +224,7 @@
     seconds: float | None,
     plots: bool,
 ) -> list[Result]:
-    from merlintally.lab.experiment import run, wanted
+    from merlintally.lab.play.experiment import run, wanted
 
     names = tuple(shipped()) if days == ("all",) else days
     tasks = list(wanted(names, builds, tuple(range(1, seeds + 1)), sizes, seconds, plots))
@@ -260,7 +261,7 @@
 
     Differences are paired; their 95% intervals are bootstrapped over the pairs.
     """
-    from merlintally.lab.compare import compare
+    from merlintally.lab.tell.compare import compare
 
     part = lab_part(operators)
     path = results or Path(part.results) / "compare.jsonl"
@@ -293,9 +294,9 @@
     files: tuple[Path, ...], to: Path | None, pair: tuple[str, str] | None, operators: Path | None
 ) -> int:
     """Write one HTML page about results FILES (the latest `lab play` if there are none)."""
-    from merlintally.lab.compare import compare
-    from merlintally.lab.report import write
-    from merlintally.lab.results import ResultsFile
+    from merlintally.lab.tell.compare import compare
+    from merlintally.lab.tell.report import write
+    from merlintally.lab.tell.results import ResultsFile
 
     paths = files or (Path(lab_part(operators).results) / "latest.jsonl",)
     found = [one for path in paths for one in ResultsFile(path).read()]
@@ -323,11 +324,10 @@
 
     A cause is what the gateway went by when it decided; the kind is what was truly the case.
     """
-    from merlintally.lab.account import Watch
-    from merlintally.lab.builds import build
-    from merlintally.lab.play import drive
-    from merlintally.lab.record import Record
-    from merlintally.lab.world import simulated
+    from merlintally.lab.builds.loading import build
+    from merlintally.lab.judge.account import Watch
+    from merlintally.lab.model.record import Record
+    from merlintally.lab.play.simulation import drive, simulated
 
     found = read_day(day).at_size(gateways, seconds)
     if build_name in BASELINES:
@@ -364,7 +364,7 @@
 
     Of a record all tries of the same first try are shown, whichever edge nodes they came to.
     """
-    from merlintally.lab.follow import follow
+    from merlintally.lab.tell.follow import follow
 
     for line in follow(list(files), number):
         click.echo(line)
--- a/merlintally/lab/baselines.py
+++ b/merlintally/lab/builds/baselines.py
@@ -8,15 +8,12 @@
 from __future__ import annotations
 
 import random
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from merlintally.interface import Results, ServerFacts
-from merlintally.lab.builds import Build
-from merlintally.lab.days import Day
-from merlintally.lab.referee import NEVER_RAN, Bucket
-
-if TYPE_CHECKING:
-    from merlintally.lab.world import World
+from merlintally.lab.builds.base import Build, TrueState
+from merlintally.lab.judge.referee import NEVER_RAN, Bucket
+from merlintally.lab.model.days import Day
 
 WAKE_S = 0.05
 
@@ -223,7 +220,7 @@
 class Oracle(Simple):
     """Sees the referee's books and the true state of the servers: an upper mark, not a policy."""
 
-    def __init__(self, facts: Any, seed: int, now: float, world: World) -> None:
+    def __init__(self, facts: Any, seed: int, now: float, world: TrueState) -> None:
         super().__init__(facts, seed, now)
         self.world = world
 
@@ -268,7 +265,7 @@
     def __init__(self, name: str) -> None:
         super().__init__(name, "merlintally", f"baseline-{name}")
 
-    def gateway(self, day: Day, number: int, seed: int, now: float, world: World) -> Any:
+    def gateway(self, day: Day, number: int, seed: int, now: float, world: TrueState) -> Any:
         facts, kind = self.facts(day, number), self.kinds[self.name]
         return kind(facts, seed, now, world) if kind is Oracle else kind(facts, seed, now)
 
--- a/merlintally/lab/builds.py
+++ b/merlintally/lab/builds/loading.py
@@ -1,12 +1,9 @@
-"""Builds of the decisions: the module as it stands, a revision or file of it, or a baseline beside it."""
+"""Finds builds by name and loads them: the module as it stands, a revision or file of it, or a baseline."""
 
 from __future__ import annotations
 
-import dataclasses
-import importlib
 import importlib.abc
 import importlib.machinery
-import importlib.util
 import re
 import subprocess
 import sys
@@ -14,53 +11,16 @@
 from hashlib import blake2b
 from pathlib import Path
 from types import ModuleType
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
-from merlintally.facts import start_facts
 from merlintally.forms import Faults, nearest
-from merlintally.lab.days import Day
-from merlintally.lab.discovery import Entry
-from merlintally.lab.told import settings_of
-from merlintally.net.configuration import flat
-
-if TYPE_CHECKING:
-    from merlintally.lab.world import World
+from merlintally.lab.builds.base import Build
+from merlintally.lab.builds.baselines import BASELINES
 
+PACKAGE = Path(__file__).resolve().parents[2]  # the folder of the module as it stands
 IMPORTS = re.compile(r"^(\s*(?:from|import)\s+)merlintally\b", re.MULTILINE)
 
 
-class Build:
-    """Decisions that can be put into edge nodes. `name` is what was asked for, `digest` tells its text."""
-
-    def __init__(self, name: str, package: str, digest: str) -> None:
-        self.name, self.digest = name, digest
-        self.interface: Any = importlib.import_module(f"{package}.interface")
-        self.choice: Any = importlib.import_module(f"{package}.choice")
-
-    def facts(self, day: Day, number: int) -> Any:
-        """What an edge node of the day is told when it starts."""
-        told = start_facts(flat(settings_of(day, number)))
-        lanes = tuple(self._row("LaneFacts", one) for one in told.lanes)
-        plans = tuple(self._row("PlanFacts", one) for one in told.plans)
-        return self._row("StartFacts", dataclasses.replace(told, lanes=lanes, plans=plans))
-
-    def _row(self, kind: str, row: Any) -> Any:
-        """A row of facts as this build has it: an earlier revision takes those that it knows."""
-        made = getattr(self.interface, kind)
-        known = [one.name for one in dataclasses.fields(made) if hasattr(row, one.name)]
-        return made(**{name: getattr(row, name) for name in known})
-
-    def server(self, entry: Entry) -> Any:
-        name, presence, zone, cell, started = entry
-        return self.interface.ServerFacts(
-            server=name, presence=presence, zone=f"z{zone}", cell=cell, started=started, size=1.0, machine="m"
-        )
-
-    def gateway(self, day: Day, number: int, seed: int, now: float, world: World) -> Any:
-        """The decisions of one edge node, from nothing."""
-        return self.choice.Gateway(self.facts(day, number), seed, now)
-
-
 class _Loader(importlib.abc.Loader):
     def __init__(self, source: str, origin: str) -> None:
         self.source, self.origin = source, origin
@@ -90,9 +50,7 @@
 
 
 def _git(*words: str) -> str | None:
-    done = subprocess.run(
-        ["git", *words], capture_output=True, text=True, check=False, cwd=Path(__file__).resolve().parents[2]
-    )
+    done = subprocess.run(["git", *words], capture_output=True, text=True, check=False, cwd=PACKAGE.parent)
     return done.stdout if done.returncode == 0 else None
 
 
@@ -108,9 +66,7 @@
 def build(name: str) -> Build:
     """`here`; `git:REVISION`; the path of another choice.py, or of a folder that holds one beside its
     modules; or a baseline. Faults if there is no such build."""
-    from merlintally.lab.baselines import BASELINES
-
-    own = Path(__file__).resolve().parents[1]
+    own = PACKAGE
     if name == "here":
         text = (own / "choice.py").read_text(encoding="utf-8")
         return Build(name, "merlintally", blake2b(text.encode(), digest_size=6).hexdigest())
--- a/merlintally/lab/faults/links.py
+++ b/merlintally/lab/faults/links.py
@@ -15,7 +15,8 @@
 from random import Random
 from typing import Any
 
-from merlintally.lab.live.standins import HOST, reset
+from merlintally.lab.live.emulator import HOST
+from merlintally.lab.live.standins import reset
 
 STEP_S, CHUNK = 0.01, 65536
 KINDS = (
--- a/merlintally/lab/faults/play.py
+++ b/merlintally/lab/faults/play.py
@@ -23,20 +23,20 @@
 
 from merlintally.cluster.disk import record_of
 from merlintally.forms import Faults
-from merlintally.lab.days import Day
 from merlintally.lab.faults.check import check, rows_of
 from merlintally.lab.faults.links import KINDS, Net, state_of
 from merlintally.lab.faults.scenario import FaultForm, Scenario
-from merlintally.lab.figures import figures
-from merlintally.lab.front import Try
+from merlintally.lab.judge.referee import Referee
+from merlintally.lab.live.emulator import HOST
 from merlintally.lab.live.play import Live
 from merlintally.lab.live.processes import RealNode, lines_of
-from merlintally.lab.live.standins import HOST
-from merlintally.lab.play import latest
-from merlintally.lab.record import Record
-from merlintally.lab.referee import Referee
-from merlintally.lab.servers import Server
-from merlintally.lab.told import COPIES_PRICE
+from merlintally.lab.model.days import Day
+from merlintally.lab.model.record import Record
+from merlintally.lab.model.requests import Try
+from merlintally.lab.model.servers import Server
+from merlintally.lab.model.settings import COPIES_PRICE
+from merlintally.lab.play.simulation import latest
+from merlintally.lab.tell.figures import figures
 
 SECRET, LEADER_S = "of the laboratory", 60.0
 FORWARDED = ("heartbeat_s", "election_s", "period_s", "lease_s", "renew_s", "drift_share", "copies")
--- a/merlintally/lab/faults/scenario.py
+++ b/merlintally/lab/faults/scenario.py
@@ -11,7 +11,7 @@
 from msgspec import Meta, Struct
 
 from merlintally.forms import Faults, nearest, read_file
-from merlintally.lab.days import Day, read_day
+from merlintally.lab.model.days import Day, read_day
 
 LinkKind = Literal[
     "cut", "one-way", "refused", "reset", "slow", "jittered", "reordered", "doubled", "lost", "narrow", "mute"
--- a/merlintally/lab/faults/writes.py
+++ b/merlintally/lab/faults/writes.py
@@ -21,10 +21,10 @@
 import anyio
 
 from merlintally.cluster.links import FORM, MOST_FRAME, MOST_HELLO, Codec, ask, read_frame
-from merlintally.lab.days import read_day
+from merlintally.lab.live.emulator import HOST
 from merlintally.lab.live.play import Live
-from merlintally.lab.live.standins import HOST
-from merlintally.lab.told import settings_of
+from merlintally.lab.model.days import read_day
+from merlintally.lab.model.settings import settings_of
 
 LENGTH_S, LEADER_S = 5.0, 20.0
 CLIENTS = (1, 16, 64)
--- a/merlintally/lab/account.py
+++ b/merlintally/lab/judge/account.py
@@ -8,11 +8,9 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, Protocol
 
-from merlintally.lab.builds import Build
-from merlintally.lab.referee import Submission
-from merlintally.lab.world import World
+from merlintally.lab.judge.referee import Referee, Submission
 
 AGES = ((0.3, "news under 0.3 s"), (1.0, "news under 1 s"), (3.0, "news under 3 s"), (60.0, "older news"))
 NEVER = "never heard"
@@ -77,10 +75,22 @@
         ]
 
 
+class JudgedWorld(Protocol):
+    """A world that a referee judges."""
+
+    referee: Referee
+
+
+class WatchedBuild(Protocol):
+    """A build whose gateways can be wrapped: `choice` is the module that holds its class `Gateway`."""
+
+    choice: Any
+
+
 class Watch:
     """Wraps the gateways of one build and the referee of one world, while the day is played."""
 
-    def __init__(self, world: World, build: Build) -> None:
+    def __init__(self, world: JudgedWorld, build: WatchedBuild) -> None:
         self.world, self.account = world, Account()
         self.causes: dict[int, str] = {}
         self.admitted: dict[int, str] = {}
--- a/merlintally/lab/referee.py
+++ b/merlintally/lab/judge/referee.py
@@ -10,10 +10,10 @@
 from collections import defaultdict, deque
 from dataclasses import dataclass, field
 
-from merlintally.lab.days import Day
-from merlintally.lab.front import Customer, First, Try
-from merlintally.lab.record import Record
-from merlintally.lab.servers import Server
+from merlintally.lab.model.days import Day
+from merlintally.lab.model.record import Record
+from merlintally.lab.model.requests import Customer, First, Try
+from merlintally.lab.model.servers import Server
 
 NEVER_RAN = ("full", "unreachable", "moot")  # outcomes of an execution that has surely had no effect
 RULES = {1: "one final answer", 2: "no effect twice", 3: "drains", 4: "cold servers", 5: "ceilings"}
--- a/merlintally/lab/live/play.py
+++ b/merlintally/lab/live/play.py
@@ -12,18 +12,21 @@
 from typing import Any
 
 from merlintally.forms import Faults
-from merlintally.lab.builds import build
-from merlintally.lab.days import Day
+from merlintally.lab.builds.loading import build
+from merlintally.lab.live.emulator import HOST, Serve
 from merlintally.lab.live.processes import RealNode, lines_of
 from merlintally.lab.live.pump import Pump
-from merlintally.lab.live.standins import HOST, AppServer, CounterPort, DiscoveryAgent, NoteWay
-from merlintally.lab.play import Result, latest, result_of
-from merlintally.lab.record import Record
-from merlintally.lab.servers import Server
-from merlintally.lab.world import World
+from merlintally.lab.live.standins import AppServer, CounterPort, DiscoveryAgent, NoteWay
+from merlintally.lab.model.days import Day
+from merlintally.lab.model.record import Record
+from merlintally.lab.model.requests import Try
+from merlintally.lab.model.servers import Server
+from merlintally.lab.play.simulation import latest, result_of
+from merlintally.lab.play.timeline import open_day
+from merlintally.lab.play.world import World
+from merlintally.lab.tell.results import Result
 
 MOST_NODES, MOST_PER_S, MOST_S = 32, 600.0, 300.0
-Serve = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Coroutine[Any, Any, None]]
 NOT_REAL = {"zone_cut"}  # no way to cut machines off from each other on one loopback
 
 
@@ -34,7 +37,7 @@
         self.folder = folder
         self.world = World(day, seed, Record(), started=time.time())
         self.pump = Pump(self.world.agenda)
-        self.tries: dict[bytes, Any] = {}
+        self.tries: dict[bytes, Try] = {}
         self.node_of: dict[bytes, str] = {}
         self.sent: dict[bytes, int] = {}
         self.strange = 0  # commands at app servers that no client sent
@@ -124,7 +127,7 @@
                 raise Faults(["a node did not answer PING in time", *lines_of(self.folder, 3)])
             # the day begins when all are ready
             world.agenda.now = world.started = world.referee.started = self.pump.tick()
-            world.open()
+            open_day(world)
             self.pump.late = 0.0
             await self.begin()
             ends = world.started + latest(day)
--- a/merlintally/lab/live/processes.py
+++ b/merlintally/lab/live/processes.py
@@ -11,24 +11,32 @@
 from collections.abc import Callable, Iterator
 from contextlib import suppress
 from pathlib import Path
-from typing import TYPE_CHECKING, Any
+from typing import Any, Protocol
 
-from merlintally.lab.front import Node, Try
-from merlintally.lab.live.standins import HOST, DiscoveryAgent
-from merlintally.lab.told import settings_of
+from merlintally.lab.live.emulator import HOST, Emulator
+from merlintally.lab.live.standins import CounterPort, DiscoveryAgent
+from merlintally.lab.model.requests import Try
+from merlintally.lab.model.settings import settings_of
+from merlintally.lab.play.front import Node
 from merlintally.load.sending import outcome_of, whole
 from merlintally.net.resp import array
 
-if TYPE_CHECKING:
-    from merlintally.lab.live.play import Live
-
 READY_S = 10.0  # for a process to answer PING
 
 
+class NodeHost(Emulator, Protocol):
+    """The day as its node processes see it: where they write, and the stand-ins that they are told of."""
+
+    folder: Path
+    agents: list[DiscoveryAgent]
+    counters: list[CounterPort]
+    note_ports: list[int]
+
+
 class RealNode(Node):
     """One node process and its clients' connections."""
 
-    def __init__(self, live: Live, number: int) -> None:
+    def __init__(self, live: NodeHost, number: int) -> None:
         self.live, self.number, self.name = live, number, f"n{number}"
         self.zone, self.alive = number % live.world.day.fleet.zones, False
         self.port, self.peer_port = live.free_port(), live.free_port(udp=True)
--- a/merlintally/lab/live/pump.py
+++ b/merlintally/lab/live/pump.py
@@ -7,7 +7,7 @@
 
 import anyio
 
-from merlintally.lab.agenda import Agenda
+from merlintally.lab.model.agenda import Agenda
 
 STEP_S = 0.004  # the longest sleep: sockets put in calls that are due sooner
 
--- a/merlintally/lab/live/standins.py
+++ b/merlintally/lab/live/standins.py
@@ -8,20 +8,17 @@
 import socket
 import struct
 from contextlib import suppress
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 import h11
 
-from merlintally.lab.discovery import Entry
-from merlintally.lab.front import Try
-from merlintally.lab.servers import Piece, Server
+from merlintally.lab.live.emulator import HOST, Emulator
+from merlintally.lab.model.discovery import Entry
+from merlintally.lab.model.requests import Try
+from merlintally.lab.model.servers import Piece, Server
 from merlintally.net.configuration import PRESENCES
 from merlintally.net.resp import bulk
 
-if TYPE_CHECKING:
-    from merlintally.lab.live.play import Live
-
-HOST = "127.0.0.1"
 RESET = struct.pack("ii", 1, 0)
 SPOILT = b"*3\r\n$x\r\n\xff\x00garbage\r\n"
 STATUS: dict[str, str] = {presence: word for word, presence in PRESENCES.items()}
@@ -66,7 +63,7 @@
 class AppServer:
     """One app server: a listener while its process is up, and commands that become pieces of work."""
 
-    def __init__(self, live: Live, server: Server) -> None:
+    def __init__(self, live: Emulator, server: Server) -> None:
         self.live, self.server = live, server
         self.port = live.free_port()
         self.listener: asyncio.Server | None = None
@@ -176,7 +173,7 @@
 class DiscoveryAgent:
     """Discovery as one edge node sees it: HTTP/1.1 on its own address, the whole list and watches."""
 
-    def __init__(self, live: Live, name: str) -> None:
+    def __init__(self, live: Emulator, name: str) -> None:
         self.live, self.name, self.port = live, name, live.free_port()
         self.index, self.changed, self.closed = 1, asyncio.Event(), False
         self.entries: dict[str, tuple[int, Entry]] = {}
@@ -269,7 +266,7 @@
 class CounterPort:
     """The counter as one edge node reaches it: lines, answered in their order."""
 
-    def __init__(self, live: Live, number: int) -> None:
+    def __init__(self, live: Emulator, number: int) -> None:
         self.live, self.number, self.port = live, number, live.free_port()
         self.listener: asyncio.Server | None = None
 
@@ -317,7 +314,7 @@
     """The way of one edge node's notes to all others: late, some lost, and from an address that tells whose
     they are."""
 
-    def __init__(self, live: Live, number: int) -> None:
+    def __init__(self, live: Emulator, number: int) -> None:
         self.live, self.number = live, number
         self.transport: Any = None
 
--- a/merlintally/lab/counter.py
+++ b/merlintally/lab/model/counter.py
@@ -6,8 +6,8 @@
 from collections.abc import Callable
 from typing import Literal
 
-from merlintally.lab.agenda import Agenda
-from merlintally.lab.days import CounterForm
+from merlintally.lab.model.agenda import Agenda
+from merlintally.lab.model.days import CounterForm
 
 Answer = Callable[[str, float], None]  # outcome ("ok" or "full") and total
 
--- a/merlintally/lab/days.py
+++ b/merlintally/lab/model/days.py
@@ -347,7 +347,7 @@
 
 def shipped() -> dict[str, Path]:
     """The days that come with the program, by name."""
-    folder = Path(str(resources.files("merlintally.lab") / "days"))
+    folder = Path(str(resources.files("merlintally.lab.model") / "days"))
     return {path.stem: path for path in sorted(folder.glob("*.toml"))}
 
 
--- a/merlintally/lab/discovery.py
+++ b/merlintally/lab/model/discovery.py
@@ -5,9 +5,9 @@
 import random
 from collections.abc import Callable
 
-from merlintally.lab.agenda import Agenda
-from merlintally.lab.days import DiscoveryForm
-from merlintally.lab.servers import Server
+from merlintally.lab.model.agenda import Agenda
+from merlintally.lab.model.days import DiscoveryForm
+from merlintally.lab.model.servers import Server
 
 Entry = tuple[str, str, int, int, float]  # server, presence, zone, cell, started (0: long ago)
 Hear = Callable[[list[Entry], bool], None]
--- a/merlintally/lab/servers.py
+++ b/merlintally/lab/model/servers.py
@@ -7,8 +7,8 @@
 from collections.abc import Callable
 from typing import Literal
 
-from merlintally.lab.agenda import Agenda
-from merlintally.lab.days import Day, LaneForm
+from merlintally.lab.model.agenda import Agenda
+from merlintally.lab.model.days import Day, LaneForm
 
 State = Literal["up", "dead", "silent"]
 
--- a/merlintally/lab/told.py
+++ b/merlintally/lab/model/settings.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from merlintally.facts import EFFECTS
-from merlintally.lab.days import Day
+from merlintally.lab.model.days import Day
 
 COPIES_PRICE = 1e-6  # of a note that goes by copies, which have a byte budget of their own
 REPEATS: dict[str, str] = {effect: word for word, effect in EFFECTS.items()}
--- a/merlintally/lab/experiment.py
+++ b/merlintally/lab/play/experiment.py
@@ -10,10 +10,10 @@
 import msgspec
 
 from merlintally.forms import Faults
-from merlintally.lab.builds import build
-from merlintally.lab.days import Day, read_day
-from merlintally.lab.play import Result, play
-from merlintally.lab.results import Key, ResultsFile, key_of
+from merlintally.lab.builds.loading import build
+from merlintally.lab.model.days import Day, read_day
+from merlintally.lab.play.simulation import play
+from merlintally.lab.tell.results import Key, Result, ResultsFile, key_of
 
 HANGS_S = 1800.0  # without any day's end, after which a run is given up: a build may hang
 
--- a/merlintally/lab/front.py
+++ b/merlintally/lab/play/front.py
@@ -1,81 +1,15 @@
-"""Customers, their clients and the front that deals submissions out among edge nodes. Free of I/O."""
+"""Clients, and the front that deals submissions out among edge nodes. Free of I/O."""
 
 from __future__ import annotations
 
 import math
 import random
 from collections.abc import Callable, Iterator
-from typing import TYPE_CHECKING
-
-from merlintally.lab.agenda import Agenda, chance
-from merlintally.lab.days import Day, LaneForm, PlanForm
-
-if TYPE_CHECKING:
-    from merlintally.lab.referee import Referee
-
-
-class Customer:
-    """A customer of a plan: its set of edge nodes, and how much it asks for."""
-
-    __slots__ = (
-        "key",
-        "plan",
-        "form",
-        "rate",
-        "burst",
-        "first",
-        "spread",
-        "weights",
-        "use",
-        "kind",
-        "spiking",
-    )
-
-    def __init__(
-        self,
-        key: str,
-        form: PlanForm,
-        rate: float,
-        burst: float,
-        first: int,
-        spread: int,
-        use: float,
-        kind: str,
-    ) -> None:
-        self.key, self.form, self.plan, self.rate, self.burst = key, form, form.name, rate, burst
-        self.first, self.spread, self.use, self.kind = first, spread, use, kind
-        self.weights: list[float] = []
-        self.spiking = 1.0
-
-
-class First:
-    """A first try and all that follows it: its worth is earned once."""
-
-    __slots__ = ("customer", "lane", "units", "guess", "work", "key", "asked", "left", "worth", "settled")
-
-    def __init__(
-        self,
-        customer: Customer,
-        lane: LaneForm,
-        units: float,
-        guess: float,
-        work: float,
-        key: str,
-        asked: float,
-        left: int,
-    ) -> None:
-        self.customer, self.lane, self.units, self.guess, self.work = customer, lane, units, guess, work
-        self.key, self.asked, self.left, self.settled = key, asked, left, False
-        self.worth = lane.gain * customer.form.price * units
-
-
-class Try:
-    """One try of a client: a submission at an edge node. `settle` gets its outcome, once."""
-
-    __slots__ = ("id", "first", "sent", "ends", "over")
-
-    def __init__(self, number: int, first: First, sent: float, ends: float) -> None:
-        self.id, self.first, self.sent, self.ends, self.over = number, first, sent, ends, False
+
+from merlintally.lab.judge.referee import Referee
+from merlintally.lab.model.agenda import Agenda, chance
+from merlintally.lab.model.days import Day, PlanForm
+from merlintally.lab.model.requests import Customer, First, Try
 
 
 class Node:
--- a/merlintally/lab/maintenance.py
+++ b/merlintally/lab/play/maintenance.py
@@ -4,15 +4,12 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import TYPE_CHECKING
 
 from merlintally.cluster.work import Budget, Machine, Request, Seen, Turn, Work, next_turn
-from merlintally.lab.days import Trouble
-from merlintally.lab.servers import Server
-from merlintally.lab.troubles import kind, restart, retire_for, revive
-
-if TYPE_CHECKING:
-    from merlintally.lab.world import World
+from merlintally.lab.model.days import Trouble
+from merlintally.lab.model.servers import Server
+from merlintally.lab.play.troubles import Kind, restart, retire_for, revive
+from merlintally.lab.play.world import World
 
 LEAVE_S, LOOK_S = 1.0, 0.1  # from a server's drain until its process ends; between looks at who is next
 
@@ -72,14 +69,12 @@
     look()
 
 
-@kind
 def work_listed(world: World, trouble: Trouble) -> None:
     """Work on all machines in list order, as by hand."""
     crew = Crew(world, trouble)
     by_hand(world, trouble, list(crew.servers), crew)
 
 
-@kind
 def work_random(world: World, trouble: Trouble) -> None:
     """Work on all machines in an order of chance, as by hand."""
     crew = Crew(world, trouble)
@@ -88,7 +83,6 @@
     by_hand(world, trouble, names, crew)
 
 
-@kind
 def work_settled(world: World, trouble: Trouble) -> None:
     """Work on all machines in the order that the nodes settle: within the budget, never two zones, warm
     before the next, never below the traffic of now."""
@@ -134,3 +128,6 @@
             crew.over()
 
     return look
+
+
+KINDS: dict[str, Kind] = {one.__name__: one for one in (work_listed, work_random, work_settled)}
--- a/merlintally/lab/nodes.py
+++ b/merlintally/lab/play/nodes.py
@@ -7,17 +7,15 @@
 
 from collections import deque
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from merlintally.cluster import FELLOWS
-from merlintally.lab.builds import Build
-from merlintally.lab.discovery import Entry
-from merlintally.lab.front import Node, Try
-from merlintally.lab.servers import Piece, Server
-
-if TYPE_CHECKING:
-    from merlintally.lab.world import World
-
+from merlintally.lab.builds.base import Build
+from merlintally.lab.model.discovery import Entry
+from merlintally.lab.model.requests import Try
+from merlintally.lab.model.servers import Piece, Server
+from merlintally.lab.play.front import Node
+from merlintally.lab.play.world import World
 
 READY_S, LEAVE_S, FINISH_S = 0.05, 0.5, 3.4  # seconds: to start; told to stop, still taking; until all ends
 
--- a/merlintally/lab/play.py
+++ b/merlintally/lab/play/simulation.py
@@ -6,45 +6,18 @@
 import time
 from collections.abc import Callable
 from pathlib import Path
-from typing import Any
 
-import msgspec
-
-from merlintally.lab.builds import Build, build
-from merlintally.lab.days import Day
-from merlintally.lab.figures import customers, figures, series
-from merlintally.lab.record import Record
-from merlintally.lab.world import World, simulated
+from merlintally.lab.builds.base import Build
+from merlintally.lab.builds.loading import build
+from merlintally.lab.model.days import Day
+from merlintally.lab.model.record import Record
+from merlintally.lab.play.nodes import SimNode
+from merlintally.lab.play.timeline import open_day
+from merlintally.lab.play.world import World
+from merlintally.lab.tell.figures import customers, figures, series
+from merlintally.lab.tell.results import RESULT_VERSION, Result
 
 STEP_S = 0.5  # simulated seconds between looks at the progress
-RESULT_VERSION = 1
-
-
-class Result(msgspec.Struct, frozen=True):
-    """What came of a day: one line of a results file (docs/laboratory.md has the format)."""
-
-    version: int
-    day: str
-    seed: int
-    gateways: int
-    servers: int
-    build: str
-    build_digest: str
-    figures: dict[str, float]
-    broken: dict[str, int]  # rule -> how often
-    breaches: list[str]
-    record_digest: str
-    record_lines: int
-    wall_s: float
-    peak_mb: float
-    notices: list[str]
-    length_s: float
-    at: str = ""  # when it was played, UTC
-    timing: str = "simulated"  # or "real", on sockets
-    series: dict[str, list[float]] = {}
-    customers: list[dict[str, Any]] = []
-    out: list[tuple[float, dict[str, int]]] = []
-    troubles: list[tuple[str, float, float]] = []
 
 
 def latest(day: Day) -> float:
@@ -53,12 +26,19 @@
     return day.length_s + longest * (1 + day.clients.retries) + 3.0
 
 
+def simulated(day: Day, seed: int, build: Build, record: Record) -> World:
+    """A world with simulated edge nodes of one build."""
+    world = World(day, seed, record)
+    world.nodes.extend(SimNode(world, number, build) for number in range(day.fleet.gateways))
+    return world
+
+
 def drive(world: World, progress: Callable[[float], None] | None = None) -> None:
     """Run a simulated day to its end: nodes start, clients come, and all that was asked is answered."""
     for node in world.nodes:
         node.start()  # type: ignore[attr-defined]
     world.agenda.run(world.started)
-    world.open()
+    open_day(world)
     ends = world.started + latest(world.day)
     while world.agenda.now < ends:
         world.agenda.run(min(ends, world.agenda.now + STEP_S))
--- a/merlintally/lab/troubles.py
+++ b/merlintally/lab/play/troubles.py
@@ -4,26 +4,17 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Any, TypeVar
+from typing import Any, TypeVar
 
-from merlintally.lab.days import Trouble
-from merlintally.lab.servers import Server
-
-if TYPE_CHECKING:
-    from merlintally.lab.world import World
+from merlintally.lab.model.days import Trouble
+from merlintally.lab.model.servers import Server
+from merlintally.lab.play.world import World
 
 T = TypeVar("T")
-Kind = Callable[["World", Trouble], None]
+Kind = Callable[[World, Trouble], None]
 KINDS: dict[str, Kind] = {}
 
 
-def begin(world: World, trouble: Trouble) -> None:
-    """A trouble's time has come."""
-    now = world.agenda.now
-    world.referee.record.line(now, "trouble", f"{trouble.kind} {trouble.lasts_s:g}")
-    KINDS[trouble.kind](world, trouble)
-
-
 def kind(call: Kind) -> Kind:
     KINDS[call.__name__] = call
     return call
--- a/merlintally/lab/world.py
+++ b/merlintally/lab/play/world.py
@@ -1,25 +1,21 @@
-"""A day's whole world: the parties, the network between them, and a timeline of troubles."""
+"""A day's whole world: the parties, and the network between them."""
 
 from __future__ import annotations
 
 import random
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
-import merlintally.lab.maintenance  # noqa: F401  (it brings kinds of trouble)
 from merlintally.cluster import UNWELL
-from merlintally.lab.agenda import Agenda, chance
-from merlintally.lab.counter import Counter
-from merlintally.lab.days import Day
-from merlintally.lab.discovery import Discovery
-from merlintally.lab.front import First, Front, Node
-from merlintally.lab.record import Record
-from merlintally.lab.referee import Referee
-from merlintally.lab.servers import Server, Stamps
-from merlintally.lab.troubles import begin
-
-if TYPE_CHECKING:
-    from merlintally.lab.builds import Build
+from merlintally.lab.judge.referee import Referee
+from merlintally.lab.model.agenda import Agenda, chance
+from merlintally.lab.model.counter import Counter
+from merlintally.lab.model.days import Day
+from merlintally.lab.model.discovery import Discovery
+from merlintally.lab.model.record import Record
+from merlintally.lab.model.requests import First
+from merlintally.lab.model.servers import Server, Stamps
+from merlintally.lab.play.front import Front, Node
 
 START = 1_000_000.0  # the world's clock at a day's start, seconds
 SAMPLE_S = 0.5  # between looks at what is out at each server
@@ -124,24 +120,11 @@
         self.agenda.after(SAMPLE_S, self.sample)
 
     def open(self) -> None:
-        """The day begins: clients come, and troubles are on their way."""
+        """The day begins: clients come."""
         self.front = Front(self.day, self.seed, self.agenda, self.nodes, self.referee)
         self.front.start()
         self.sample()
-        for trouble in self.day.trouble:
-            if trouble.kind in self.left_out:
-                continue
-            self.agenda.after(trouble.at_s, begin, self, trouble)
 
     def close(self) -> None:
         """The day is over and all is answered that will be: judge what is left."""
         self.referee.close(self.agenda.now, self.stamps.effects)
-
-
-def simulated(day: Day, seed: int, build: Build, record: Record) -> World:
-    """A world with simulated edge nodes of one build."""
-    from merlintally.lab.nodes import SimNode
-
-    world = World(day, seed, record)
-    world.nodes.extend(SimNode(world, number, build) for number in range(day.fleet.gateways))
-    return world
--- a/merlintally/lab/compare.py
+++ b/merlintally/lab/tell/compare.py
@@ -7,7 +7,7 @@
 
 import numpy as np
 
-from merlintally.lab.play import Result
+from merlintally.lab.tell.results import Result
 
 RESAMPLES, SEED = 5000, 7
 COMPARED = ("G", "service", "worst_window", "refused_with_room", "units_beyond", "answer_p99_ms")
--- a/merlintally/lab/figures.py
+++ b/merlintally/lab/tell/figures.py
@@ -4,7 +4,7 @@
 
 import numpy as np
 
-from merlintally.lab.referee import Figures, Referee
+from merlintally.lab.judge.referee import Figures, Referee
 
 WINDOW = 10  # seconds of the worst window
 
--- a/merlintally/lab/report.py
+++ b/merlintally/lab/tell/report.py
@@ -17,7 +17,7 @@
 from matplotlib.axes import Axes  # noqa: E402
 from matplotlib.figure import Figure  # noqa: E402
 
-from merlintally.lab.play import Result  # noqa: E402
+from merlintally.lab.tell.results import Result  # noqa: E402
 
 SHOWN = (
     "G",
@@ -147,7 +147,7 @@
         for one in [one for one in rows if one.series][:MOST_PLOTTED]
     ]
     template = jinja2.Environment(autoescape=True, undefined=jinja2.StrictUndefined).from_string(
-        (resources.files("merlintally.lab") / "report.html").read_text(encoding="utf-8")
+        (resources.files("merlintally.lab.tell") / "report.html").read_text(encoding="utf-8")
     )
     sizes = len({one.gateways for one in rows}) > 1
     return template.render(
--- a/merlintally/lab/results.py
+++ b/merlintally/lab/tell/results.py
@@ -9,15 +9,43 @@
 import os
 from collections.abc import Iterable
 from pathlib import Path
+from typing import Any
 
 import msgspec
 
 from merlintally.forms import Faults
-from merlintally.lab.play import RESULT_VERSION, Result
 
+RESULT_VERSION = 1
 Key = tuple[str, int, int, str, str]
 
 
+class Result(msgspec.Struct, frozen=True):
+    """What came of a day: one line of a results file (docs/laboratory.md has the format)."""
+
+    version: int
+    day: str
+    seed: int
+    gateways: int
+    servers: int
+    build: str
+    build_digest: str
+    figures: dict[str, float]
+    broken: dict[str, int]  # rule -> how often
+    breaches: list[str]
+    record_digest: str
+    record_lines: int
+    wall_s: float
+    peak_mb: float
+    notices: list[str]
+    length_s: float
+    at: str = ""  # when it was played, UTC
+    timing: str = "simulated"  # or "real", on sockets
+    series: dict[str, list[float]] = {}
+    customers: list[dict[str, Any]] = []
+    out: list[tuple[float, dict[str, int]]] = []
+    troubles: list[tuple[str, float, float]] = []
+
+
 def key_of(result: Result) -> Key:
     """What is not played twice: day, seed, size, build and its text."""
     return result.day, result.seed, result.gateways, result.build, result.build_digest
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -17,7 +17,7 @@
 
 from merlintally.cli.front import front, main
 from merlintally.forms import Faults, explain, read
-from merlintally.lab.days import Day, read_day
+from merlintally.lab.model.days import Day, read_day
 from merlintally.load.profile import Profile
 from merlintally.net.log import Log
 from merlintally.operators import Operators, read_operators
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -14,21 +14,21 @@
 from msgspec import structs
 
 from merlintally.forms import Faults
-from merlintally.lab.account import Watch
-from merlintally.lab.agenda import Agenda, chance
-from merlintally.lab.builds import build
-from merlintally.lab.compare import compare, interval
-from merlintally.lab.counter import Counter as SharedCounter
-from merlintally.lab.days import CounterForm, Day, DiscoveryForm, Trouble, load_day, read_day, shipped
-from merlintally.lab.discovery import Discovery, Entry
-from merlintally.lab.experiment import Wanted, run
-from merlintally.lab.follow import follow
-from merlintally.lab.play import Result, drive, play
-from merlintally.lab.record import Record
-from merlintally.lab.report import page
-from merlintally.lab.results import ResultsFile
-from merlintally.lab.servers import Piece, Server, Stamps
-from merlintally.lab.world import World, simulated
+from merlintally.lab.builds.loading import build
+from merlintally.lab.judge.account import Watch
+from merlintally.lab.model.agenda import Agenda, chance
+from merlintally.lab.model.counter import Counter as SharedCounter
+from merlintally.lab.model.days import CounterForm, Day, DiscoveryForm, Trouble, load_day, read_day, shipped
+from merlintally.lab.model.discovery import Discovery, Entry
+from merlintally.lab.model.record import Record
+from merlintally.lab.model.servers import Piece, Server, Stamps
+from merlintally.lab.play.experiment import Wanted, run
+from merlintally.lab.play.simulation import drive, play, simulated
+from merlintally.lab.play.world import World
+from merlintally.lab.tell.compare import compare, interval
+from merlintally.lab.tell.follow import follow
+from merlintally.lab.tell.report import page
+from merlintally.lab.tell.results import Result, ResultsFile
 
 ROOT = Path(__file__).resolve().parents[1]
 SMALL = read_day("calm").at_size(6, 4.0)
@@ -263,7 +263,7 @@
 
 def test_the_same_seed_gives_the_same_bytes_whatever_the_hash_seed() -> None:
     text = (
-        "from merlintally.lab.days import read_day; from merlintally.lab.play import play;"
+        "from merlintally.lab.model.days import read_day; from merlintally.lab.play.simulation import play;"
         "print(play(read_day('release').at_size(6, 4.0), 5).record_digest)"
     )
     digests = {
@@ -339,7 +339,7 @@
 
 
 def test_a_build_that_hangs_does_not_hang_the_run(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
-    import merlintally.lab.experiment as experiment
+    import merlintally.lab.play.experiment as experiment
 
     monkeypatch.setattr(experiment, "one", hangs)
     with pytest.raises(Faults, match="no day has ended for 2 s"):
@@ -417,7 +417,7 @@
 
 def test_two_days_side_by_side_do_not_meet() -> None:
     text = (
-        "from merlintally.lab.days import read_day; from merlintally.lab.live.play import play_real;"
+        "from merlintally.lab.model.days import read_day; from merlintally.lab.live.play import play_real;"
         "r = play_real(read_day('calm').at_size(2, 2.0), 1); print(r.broken, [n for n in r.notices if "
         "'no client' in n or 'by itself' in n])"
     )
