A connection that is closing does not give way over unread bytes

Cause: give_way ended closing connections without a look at what was unread (Clients.give_way); with descriptors full it does so many at a time, and a close over unread bytes resets the answer that just went out. Change: each is looked at before it is ended.

--- a/merlintally/net/clients.py
+++ b/merlintally/net/clients.py
@@ -380,7 +380,8 @@
         for client in self.eviction.candidates(self.connections, self.clock.now(), urgent):
             if closed == most:
                 break
-            if client.closing or client.stream.quiet():  # else what makes it whole may have come
+            # Else what makes a command whole may have come, or the answer just written would go with a reset.
+            if client.stream.quiet():
                 if not client.known:
                     self.closures.add(NO_DESCRIPTOR, client.address)
                 client.end()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -136,6 +136,19 @@
     client.stream.sock.close()
 
 
+def test_a_connection_that_is_closing_does_not_give_way_over_unread_bytes() -> None:
+    """A close over unread bytes resets the connection, and the answer that just went out goes with it."""
+    clients = clients_of()
+    client, theirs = client_of(clients)
+    client.closing = True
+    with theirs:
+        theirs.sendall(said())
+        assert not clients.give_way() and not client.ended
+        client.stream.sock.recv(1 << 16)
+        assert clients.give_way() and client.ended
+    client.stream.sock.close()
+
+
 def test_a_node_told_to_leave_closes_what_rests_and_answers_what_has_begun() -> None:
     at, heard = server(), list[bytes]()
 
