Fresh reads cost no further call: a read that got less than it asked for found nothing more

Change: a poll that took over a millisecond has waited, and no second one tells; what can have come within 10 ms is read once, and its end is seen a turn later.

--- a/merlintally/net/client_stream.py
+++ b/merlintally/net/client_stream.py
@@ -1,5 +1,5 @@
-"""A client's connection: it is read until nothing is left, so that an end behind a request is seen with it,
-and each request is known to have come no earlier than a stated moment."""
+"""A client's connection: what may have waited is read until nothing is left, so that an end behind a request
+is seen with it, and each request is known to have come no earlier than a stated moment."""
 
 from __future__ import annotations
 
@@ -10,6 +10,8 @@
 from merlintally.net.sockets import Allowance, Stream
 from merlintally.net.timers import Clock
 
+FRESH_S = 0.01  # since bytes can have come, up to which their client's end is not looked for at once
+
 
 class ClientStream(Stream):
     """A `Stream` that knows how old what it reads may be. `came_after` is a moment (Unix seconds) before
@@ -23,12 +25,19 @@
         self._arrivals = Arrivals(came_after)
 
     async def receive(self) -> int:
-        """Wait for more bytes and read all there are; 0 when the client has ended, whatever it had sent."""
+        """Wait for more bytes, and read all there are where they may have waited; 0 when the client has
+        ended, whatever it had sent."""
         count = await super().receive()
         if not count:
             return 0
-        self._arrivals.seen_empty(self._ready_times.since(self.sock.fileno()) + self._clock.offset)
-        self._arrivals.add(count)
+        arrivals, now = self._arrivals, self._clock.now()
+        arrivals.seen_empty(self._ready_times.since(self.sock.fileno()) + self._clock.offset)
+        arrivals.add(count)
+        fresh = now - arrivals.seen_empty_at < FRESH_S
+        if self.end < len(self.buffer):
+            arrivals.seen_empty(now)  # it asked for more than there was
+            if fresh:
+                return count
         more = self._read_what_is_left()
         return count + more if more is not None else 0
 
--- a/merlintally/net/polling.py
+++ b/merlintally/net/polling.py
@@ -15,6 +15,7 @@
     from _typeshed import FileDescriptorLike
 
 UNKNOWN = float("-inf")
+WAITED_S = 0.001  # from which a poll has waited, rather than looked
 ReadyList = list[tuple[selectors.SelectorKey, int]]
 
 
@@ -41,37 +42,33 @@
     def __init__(self, ready_times: ReadyTimes) -> None:
         super().__init__()
         self._ready_times = ready_times
-        self._polled_at = time.monotonic()
-        self._asked_at: dict[int, float] = {}  # since when each descriptor is part of the polls
+        self._polls, self._polled_at = 0, time.monotonic()
+        self._asked_at: dict[int, int] = {}  # polls made before each descriptor became part of them
 
     def register(self, fileobj: FileDescriptorLike, events: int, data: Any = None) -> selectors.SelectorKey:
         key = super().register(fileobj, events, data)
-        self._asked_at[key.fd] = time.monotonic()
+        self._asked_at[key.fd] = self._polls
         return key
 
     def modify(self, fileobj: FileDescriptorLike, events: int, data: Any = None) -> selectors.SelectorKey:
         key = super().modify(fileobj, events, data)
-        self._asked_at[key.fd] = time.monotonic()
-        return key
-
-    def unregister(self, fileobj: FileDescriptorLike) -> selectors.SelectorKey:
-        key = super().unregister(fileobj)
-        self._asked_at.pop(key.fd, None)
+        self._asked_at[key.fd] = self._polls
         return key
 
     def select(self, timeout: float | None = None) -> ReadyList:
-        """What is ready. Looks once without waiting: what is ready then may have come since the last poll,
-        and what ends a wait came at its end."""
-        since, polled_at = self._polled_at, time.monotonic()
-        ready = super().select(0)
-        if not ready and (timeout is None or timeout > 0):
-            ready = super().select(timeout)
-            since = polled_at = time.monotonic()
+        """What is ready. Where the poll waited, it was not ready before its end; else it may have come since
+        the poll before, if it was part of that."""
+        began_at, before = time.monotonic(), self._polled_at
+        ready = super().select(timeout)
+        ended_at = time.monotonic()
+        waited = ended_at - began_at > WAITED_S
         for key, events in ready:
             if events & selectors.EVENT_READ:
-                known = self._asked_at.get(key.fd, since) < since
-                self._ready_times.report(key.fd, since if known else UNKNOWN)
-        self._polled_at = polled_at
+                known = self._asked_at.get(key.fd, self._polls) < self._polls
+                since = ended_at if waited else before if known else UNKNOWN
+                self._ready_times.report(key.fd, since)
+        self._polls += 1
+        self._polled_at = ended_at if waited else began_at
         return ready
 
 
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -16,6 +16,7 @@
 from merlintally.net import EdgeNode
 from merlintally.net.admission import Admission, AdmissionLimits, Eviction
 from merlintally.net.arrivals import MOST_SEGMENTS, Arrivals
+from merlintally.net.client_stream import FRESH_S
 from merlintally.net.closures import NO_REQUEST, Closures
 from merlintally.net.configuration import Bounds, Faulty, deployment_of
 from merlintally.net.log import Log
@@ -174,6 +175,7 @@
         for _ in range(3):  # with no wait between: the node shares this loop, and accepts them afterwards
             with socket.create_connection(scene.node.address) as sock:
                 sock.sendall(said())
+        time.sleep(2 * FRESH_S)  # longer changes nothing: the loop stands still
         assert (await ask_once(scene)).what == SERVED
 
     play(told(known=known(at), bounds=Bounds(rest_s=0.001)), act, at)
