Subsets of app servers: the core, and schedules with planted mistakes

Need: a request costs 1.6 microseconds for each app server that a node knows; at thousands of servers that is most of a core. Change: merlintally/subsets/, an I/O-free core: each node works with a bounded number of servers, worked out by a hash. Seeded schedules with a checker of its own, ten planted mistakes. Not wired yet.

--- a/merlintally/cli/faults.py
+++ b/merlintally/cli/faults.py
@@ -20,11 +20,12 @@
 BROKEN = 3  # exit code
 FOLDER = click.Path(file_okay=False, path_type=Path)
 CORES = {  # and where their planted mistakes are named
-    "agreement": "agreement",
-    "members": "members",
-    "work": "work",
-    "parts": "work.parts",
-    "copies": "copies",
+    "agreement": "cluster.agreement",
+    "members": "cluster.members",
+    "work": "cluster.work",
+    "parts": "cluster.work.parts",
+    "copies": "cluster.copies",
+    "subsets": "subsets",
 }
 CHUNK = 50  # schedules a process takes at once
 json_option = click.option("--json", "as_json", is_flag=True, help="Print for machines.")
@@ -120,7 +121,7 @@
 
 
 def mistakes_of(core: str) -> tuple[str, ...]:
-    found: tuple[str, ...] = importlib.import_module(f"merlintally.cluster.{CORES[core]}").MISTAKES
+    found: tuple[str, ...] = importlib.import_module(f"merlintally.{CORES[core]}").MISTAKES
     return found
 
 
@@ -151,7 +152,7 @@
 def schedules(
     core: str, count: int, first: int, processes: int, mistake: str | None, all_mistakes: bool, as_json: bool
 ) -> int:
-    """Try CORE (agreement, members, work, parts or copies) in simulated time under seeded faults.
+    """Try CORE (agreement, members, work, parts, copies or subsets) in simulated time under seeded faults.
 
     Exit code 3 for a broken promise."""
     known = mistakes_of(core)
--- a/merlintally/lab/schedules/world.py
+++ b/merlintally/lab/schedules/world.py
@@ -91,8 +91,8 @@
         if self.mistakes:
             raise Found
 
-    def count(self, what: str) -> None:
-        self.verdict.counts[what] = self.verdict.counts.get(what, 0) + 1
+    def count(self, what: str, number: int = 1) -> None:
+        self.verdict.counts[what] = self.verdict.counts.get(what, 0) + number
 
 
 class Drifting:
--- /dev/null
+++ b/merlintally/subsets/core.py
@@ -0,0 +1,250 @@
+"""One node's subset of the listed servers: it grows at once when it has to, and shrinks after a while."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+from typing import NamedTuple
+
+from merlintally.subsets.descent import Descent, start_level
+from merlintally.subsets.records import LEVEL_AT, ON, PRESENCE_AT, Listing, Rows
+
+ZONE_SHARE = 0.05  # of the serving servers, from which a zone counts as one that a subset can span
+ZONES = 2  # that a subset's serving servers lie in, where as many count
+MOST_STEPS = 2  # that a node's own saturation adds
+MISTAKES = (  # planted by name, in tests only
+    "each node has its own hash",
+    "shrinks below its least",
+    "a drained server is kept",
+    "one that left the list is kept",
+    "newcomers join twice as many subsets",
+    "failing servers count as serving",
+    "one zone is enough",
+    "a returned zone stays failing",
+    "it shrinks at once",
+    "it never shrinks",
+)
+
+
+class Terms(NamedTuple):
+    """What operators may set."""
+
+    size: int = 128  # servers that a subset is to have at least, and not quite twice as many
+    whole_up_to: int = 512  # listed servers, up to which the list is used whole
+    least: int = 64  # serving servers in a subset while more are alive
+    unanswered: int = 3  # attempts in a row, from which a server counts as failing
+    settle_s: float = 60.0  # for which a smaller subset has to be enough before it shrinks
+    pressed_s: float = 2.0  # for which a subset is saturated before it grows a step
+
+
+class Subset:
+    """Follows the list, and says which of its servers this node works with.
+
+    `listed` gives what is to be told of a list or its changes. `reported`, `pressed` and `wake` say whether the
+    subset has changed otherwise: then `members` is the whole of it.
+    """
+
+    def __init__(
+        self, number: int, nodes: int, terms: Terms = Terms(), mistakes: frozenset[str] = frozenset()
+    ) -> None:
+        self.nodes, self.terms, self.mistakes = nodes, terms, mistakes
+        self.level = 0
+        self.rows = dict[str, bytes]()  # by server: all that are listed
+        self._prefix = f"{number}:" if "each node has its own hash" in mistakes else ""
+        self._descent, self._packing = Descent(number, nodes), Rows()
+        self._placed = False  # small lists are used whole: which server joins when is not looked up
+        self._serving: list[dict[int, int]] = [{} for _ in range(self._descent.top + 1)]  # by level and zone
+        self._unanswered = dict[str, int]()  # attempts in a row, by server
+        self.steps, self._pressed_since, self._eased_since = 0, -1.0, -1.0
+        self._shrinks_at = float("inf")
+
+    @property
+    def whole(self) -> bool:
+        """Whether the list is used whole."""
+        return self.level >= self._descent.top
+
+    @property
+    def sharing(self) -> int:
+        """How many nodes send to one server."""
+        return self.nodes if self.whole else 1 << self.level
+
+    def listed(
+        self, now: float, entries: Sequence[Listing], complete: bool
+    ) -> tuple[Sequence[Listing], bool]:
+        """Take a list or its changes; gives those to be told, and whether they are the whole subset."""
+        if complete:
+            told = self._take_all(entries)
+        else:
+            told = [entry for entry in entries if self._take(entry)]
+        was_small = self.level > 0 and not self._placed
+        if not self._placed and len(self.rows) > self.terms.whole_up_to:
+            self._place_all()
+        if was_small and len(self.rows) > 2 * self.terms.whole_up_to:
+            self._shrinks_at = now  # guards against thousands of servers used whole until it settles
+        if self._settle(now):
+            return self.members(), True
+        if self.whole:
+            return entries, complete
+        if complete:
+            return [one for one in entries if self._is_member(one.facts.server)], True
+        return told, False
+
+    def members(self) -> list[Listing]:
+        """The whole subset."""
+        unpack, level = self._packing.unpack, self.level
+        return [unpack(name, row) for name, row in self.rows.items() if row[LEVEL_AT] <= level]
+
+    def reported(self, now: float, server: str, answered: bool) -> bool:
+        """An attempt at a server has ended; whether the subset has changed by it."""
+        row, before = self.rows.get(server), self._unanswered.get(server, 0)
+        if not self._placed or row is None or row[LEVEL_AT] > self.level or (answered and not before):
+            return False
+        self._count(server, row, -1)
+        if answered:
+            del self._unanswered[server]
+        else:
+            self._unanswered[server] = before + 1
+        self._count(server, row, 1)
+        crossed = before >= self.terms.unanswered if answered else before + 1 == self.terms.unanswered
+        return crossed and self._settle(now)
+
+    def pressed(self, now: float, saturated: bool) -> bool:
+        """Whether this node finds its subset saturated; whether the subset has changed by it."""
+        if not saturated:
+            self._pressed_since = -1.0
+            self._eased_since = now if self._eased_since < 0 else self._eased_since
+            if self.steps and now - self._eased_since >= self.terms.settle_s:
+                self.steps, self._eased_since = self.steps - 1, now
+                return self._settle(now)
+            return False
+        self._eased_since = -1.0
+        self._pressed_since = now if self._pressed_since < 0 else self._pressed_since
+        if self.steps >= MOST_STEPS or now - self._pressed_since < self.terms.pressed_s:
+            return False
+        self.steps, self._pressed_since = self.steps + 1, now
+        return self._settle(now)
+
+    def wake(self, now: float) -> bool:
+        """Whether the subset has shrunk, since a smaller one has been enough for a while."""
+        return now >= self._shrinks_at and self._settle(now)
+
+    # How servers are kept.
+
+    def _take_all(self, entries: Sequence[Listing]) -> list[Listing]:
+        before, self.rows = self.rows, {}
+        self._serving = [{} for _ in self._serving]
+        for entry in entries:
+            if entry.facts.presence != "gone":
+                name, old = entry.facts.server, before.get(entry.facts.server)
+                self._forget_attempts(entry, old)
+                self._put(name, self._packing.pack(self._level_of(name, old), entry))
+        self._unanswered = {name: count for name, count in self._unanswered.items() if name in self.rows}
+        return []
+
+    def _take(self, entry: Listing) -> bool:
+        """Whether the change is one of the subset."""
+        name = entry.facts.server
+        old = self.rows.pop(name, None)
+        if old is not None:
+            self._count(name, old, -1)
+        if entry.facts.presence == "gone":
+            self._unanswered.pop(name, None)
+            if old is not None and "one that left the list is kept" in self.mistakes:
+                return False
+            return old is not None and old[LEVEL_AT] <= self.level
+        self._forget_attempts(entry, old)
+        row = self._packing.pack(self._level_of(name, old), entry)
+        self._put(name, row)
+        if entry.facts.presence == "draining" and "a drained server is kept" in self.mistakes:
+            return False
+        return row[LEVEL_AT] <= self.level
+
+    def _put(self, name: str, row: bytes) -> None:
+        self.rows[name] = row
+        self._count(name, row, 1)
+
+    def _level_of(self, name: str, old: bytes | None) -> int:
+        if old is not None:
+            return old[LEVEL_AT]
+        if not self._placed:
+            return 0
+        level = self._descent.joins_at(self._prefix + name)
+        return max(0, level - ("newcomers join twice as many subsets" in self.mistakes))
+
+    def _place_all(self) -> None:
+        """The list has become too long to be used whole."""
+        self._placed = True
+        self._serving = [{} for _ in self._serving]
+        for name, row in self.rows.items():
+            self._put(name, bytes((self._descent.joins_at(self._prefix + name),)) + row[1:])
+
+    def _forget_attempts(self, entry: Listing, old: bytes | None) -> None:
+        """What is listed anew, or otherwise than before, may answer again."""
+        if "a returned zone stays failing" in self.mistakes:
+            return
+        same = old is not None and self._packing.started_of(old) == entry.facts.started
+        if not same or (old is not None and old[PRESENCE_AT] != ON):
+            self._unanswered.pop(entry.facts.server, None)
+
+    def _is_member(self, name: str) -> bool:
+        row = self.rows.get(name)
+        return row is not None and row[LEVEL_AT] <= self.level
+
+    def _count(self, name: str, row: bytes, by: int) -> None:
+        """Count a server as serving at the level at which it joins, if it is so."""
+        failing = self._unanswered.get(name, 0) >= self.terms.unanswered
+        if "failing servers count as serving" in self.mistakes:
+            failing = False
+        if row[PRESENCE_AT] == ON and not failing:
+            zones, zone = self._serving[row[LEVEL_AT]], self._packing.zone_of(row)
+            zones[zone] = zones.get(zone, 0) + by
+
+    # How large it is.
+
+    def _settle(self, now: float) -> bool:
+        """Grow at once, shrink after a while; whether the level has changed."""
+        wanted = self._wanted()
+        if wanted == self.level:
+            self._shrinks_at = float("inf")
+            return False
+        if wanted < self.level and "it shrinks at once" not in self.mistakes:
+            self._shrinks_at = min(self._shrinks_at, now + self.terms.settle_s)
+            if now < self._shrinks_at or "it never shrinks" in self.mistakes:
+                return False
+        self.level, self._shrinks_at = wanted, float("inf")
+        for name in [one for one in self._unanswered if not self._is_member(one)]:
+            self._count(name, self.rows[name], -1)  # what nothing is sent to any more may answer again
+            del self._unanswered[name]
+            self._count(name, self.rows[name], 1)
+        return True
+
+    def _wanted(self) -> int:
+        """The lowest level that is enough: by the list's size, by servers and zones that serve, by load."""
+        top, terms = self._descent.top, self.terms
+        if not self._placed or len(self.rows) <= terms.whole_up_to:
+            return top
+        level = min(top, start_level(self.nodes, len(self.rows), terms.size) + self.steps)
+        every = _added(self._serving)
+        alive = sum(every.values())
+        least, zones = min(terms.least, alive), min(ZONES, _zones(every, alive))
+        if "shrinks below its least" in self.mistakes:
+            least = 0
+        if "one zone is enough" in self.mistakes:
+            zones = 1
+        found = _added(self._serving[: level + 1])
+        while level < top and (sum(found.values()) < least or _zones(found, 0) < zones):
+            level += 1
+            found = _added((found, self._serving[level]))
+        return level
+
+
+def _added(parts: Iterable[dict[int, int]]) -> dict[int, int]:
+    total = dict[int, int]()
+    for part in parts:
+        for zone, count in part.items():
+            total[zone] = total.get(zone, 0) + count
+    return total
+
+
+def _zones(serving: dict[int, int], alive: int) -> int:
+    """Zones with a part of all that serve."""
+    return sum(count > 0 and count >= ZONE_SHARE * alive for count in serving.values())
