Nodes work with their subset of app servers

Need: lists of thousands of servers reach the decisions whole. Change: the keeper tells the decisions and the connections of the node's subset alone; what leaves it is told as gone, so that open attempts end and nothing new is sent. Gateway.share has the places at a server divided by the nodes that send to it. [subsets] in the operators' file; off with enabled = false.

--- a/merlintally/choice.py
+++ b/merlintally/choice.py
@@ -361,6 +361,7 @@
         self.answers, self.out, self.strain, self.worth, self.worth_at = 0, 0, 1.0, 1.0, -1.0
         self.started = self.paced_at = self.fitted = self.swept = now
         others, self.peers = facts.gateways - 1, dict[int, float]()  # when each was last heard
+        self.sharing = facts.gateways  # how many of them send to one server
         self.noting = facts.may_note and 0 < facts.note_price * others * ROW.size / 256 < facts.count_price
         self.note_every, self.noted_at = max(NOTES[0], others / NOTES[1]), now
 
@@ -396,11 +397,17 @@
             self.pull(now)
         return handle
 
+    def share(self, gateways: int) -> None:
+        """So many gateways send to one server from now on: each has its part of the places there."""
+        factor, self.sharing, self.worth_at = self.sharing / gateways, gateways, -1.0
+        for server in self.servers.values():
+            server.first_places, server.places = server.first_places * factor, server.places * factor
+
     def roster(self, now: float, entries: Iterable[ServerFacts], complete: bool) -> None:
         for server in self.servers.values() if complete else ():
             server.presence = "gone"
         for entry in entries:
-            one = self.servers.setdefault(entry.server, AppServer(entry, FIRST_PLACES / self.facts.gateways))
+            one = self.servers.setdefault(entry.server, AppServer(entry, FIRST_PLACES / self.sharing))
             if entry.started > one.started:
                 one.renew(entry)
             one.presence, self.worth_at = entry.presence, -1.0
@@ -595,7 +602,7 @@
     def scarcity(self, now: float) -> float:
         """How far places fall short of one a server: near 1 with hundreds of gateways, 0 with few."""
         each = self.places(now) / max(1, len(self.servers))
-        return max(0.0, 1 - max(FIRST_PLACES / self.facts.gateways, each))
+        return max(0.0, 1 - max(FIRST_PLACES / self.sharing, each))
 
     def allowed(self, now: float) -> float:
         """How many executions may be out: scarce places get a headroom for chance, and give way to strain."""
--- a/merlintally/cli/serving.py
+++ b/merlintally/cli/serving.py
@@ -105,4 +105,4 @@
         log.reread = reread
         return log
 
-    return run_node(make_log, parts)
+    return run_node(make_log, parts, first.subsets.terms())
--- a/merlintally/net/configuration.py
+++ b/merlintally/net/configuration.py
@@ -11,6 +11,7 @@
 from merlintally.facts import REPORTED, reported_names, start_facts
 from merlintally.fields import Fields, Malformed, known, number, text, whole
 from merlintally.interface import Presence, ServerFacts, StartFacts
+from merlintally.subsets import USUAL, Terms
 
 Address = tuple[str, int]
 PRESENCES: dict[str, Presence] = {"SERVING": "on", "DRAINING": "draining", "DELETED": "gone"}
@@ -87,6 +88,7 @@
     idle_close: float
     pushed: bool = False  # lists are, to an agent on this machine
     bounds: Bounds = field(default_factory=Bounds)
+    subsets: Terms | None = USUAL  # of app servers, as the operators' file says; None: off
 
 
 FIXED = {  # what can't change while the node runs, by the keys that it is read from
--- a/merlintally/net/keeper.py
+++ b/merlintally/net/keeper.py
@@ -4,12 +4,12 @@
 
 import traceback
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import replace
 from typing import Any
 
-from merlintally.choice import Gateway
-from merlintally.interface import CounterOutcome
+from merlintally.choice import SATURATED, Gateway
+from merlintally.interface import CounterOutcome, Outcome
 from merlintally.net.configuration import Deployment, Listed
 from merlintally.net.counter import Counter
 from merlintally.net.log import Log
@@ -18,7 +18,10 @@
 from merlintally.net.sockets import Buffer
 from merlintally.net.taken import Answer, Execution, Taken
 from merlintally.net.timers import Clock, Timers
+from merlintally.subsets import Listing, Subset
 
+ANSWERED: tuple[Outcome, ...] = ("ok", "error", "full")
+UNANSWERED: tuple[Outcome, ...] = ("timed_out", "unreachable", "broken")
 GIVEN_UP: list[Buffer] = [b"-ERR given up\r\n"]
 BUSY: list[Buffer] = [b"-BUSY\r\n"]
 SAME_ID: list[Buffer] = [b"-ERR the id is that of an open submission\r\n"]
@@ -30,6 +33,19 @@
     return "bounced" if head == b"-BUSY" else "given up" if head[:1] == b"-" else "delivered"
 
 
+def subset_of(deployment: Deployment) -> Subset | None:
+    """This node's subset; None where it is off, or the settings give the node no number among the others."""
+    facts = deployment.facts
+    if deployment.subsets is None or facts.number >= facts.gateways:
+        return None
+    return Subset(facts.number, facts.gateways, deployment.subsets)
+
+
+def saturated(gateway: Gateway) -> bool:
+    """Whether work waits while answers from this gateway's servers take much longer than they need."""
+    return gateway.strain > SATURATED and any(gateway.lines.values())
+
+
 class Keeper:
     """Turns what comes through the queue into calls on the decisions, and carries out what they want done.
 
@@ -39,6 +55,7 @@
     def __init__(self, deployment: Deployment, clock: Clock, log: Log) -> None:
         self.clock, self.log, self.most_open = clock, log, deployment.most_open
         self.gateway = Gateway(deployment.facts, deployment.seed, clock.now())
+        self.subset = subset_of(deployment)
         self.fleet: Fleet
         self.timers: Timers
         self.counter: Counter | None = None
@@ -148,6 +165,7 @@
         if answer.value:
             self._pass_on(taken, [answer.value])
         if taken.handle is not None:
+            server = taken.handle.out.get(execution.number)
             taken.handle.ended(
                 now,
                 execution.number,
@@ -157,6 +175,8 @@
                 answer.actual,
                 answer.report,
             )
+            if server is not None:
+                self._judged(server.name, execution, answer.outcome)
         self._forget(taken)
 
     def expired(self, execution: Execution) -> None:
@@ -172,16 +192,45 @@
             self.shown.update((entry.facts.server, entry) for entry in entries)
             self.shown = {name: entry for name, entry in self.shown.items() if entry.facts.presence != "gone"}
             entries = [self._as_agreed(entry) for entry in entries]
-        self.fleet.roster(entries, complete)
-        self.gateway.roster(self.clock.now(), [entry.facts for entry in entries], complete)
+        self._take_list(entries, complete)
 
     def take_out(self, servers: frozenset[str]) -> None:
         """These app servers, and no others, are out for work: to them nothing new is sent."""
         assert self.shown is not None, "nothing was kept of what is listed"
         changed, self.out = self.out ^ servers, servers
         if entries := [self._as_agreed(self.shown[name]) for name in sorted(changed) if name in self.shown]:
-            self.fleet.roster(entries, False)
-            self.gateway.roster(self.clock.now(), [entry.facts for entry in entries], False)
+            self._take_list(entries, False)
+
+    def _take_list(self, entries: Sequence[Listing], complete: bool) -> None:
+        """Tell of a list, or its changes, what concerns this node's subset."""
+        if self.subset is not None:
+            entries, complete = self.subset.listed(self.clock.now(), entries, complete)
+        if entries or complete:
+            self._tell_roster(entries, complete)
+
+    def _tell_roster(self, entries: Sequence[Listing], complete: bool) -> None:
+        """What has left the subset is told as gone: its attempts end, and it gets nothing more."""
+        if self.subset is not None and self.subset.sharing != self.gateway.sharing:
+            self.gateway.share(self.subset.sharing)
+        self.fleet.roster(entries, complete)
+        self.gateway.roster(self.clock.now(), [entry.facts for entry in entries], complete)
+
+    def _judged(self, server: str, execution: Execution, outcome: Outcome) -> None:
+        """An attempt has ended: a server that leaves several without an answer counts as failing. Guards
+        against attempts that this node held back itself, which say nothing of the server."""
+        if self.subset is None or execution.link is None or outcome not in ANSWERED + UNANSWERED:
+            return
+        if self.subset.reported(self.clock.now(), server, outcome in ANSWERED):
+            self._tell_roster(self.subset.members(), True)
+
+    def _fit_subset(self) -> None:
+        """Grow the subset while it is saturated, and shrink it once a smaller one has been enough."""
+        if self.subset is None or not self.subset.bounded:
+            return
+        now = self.clock.now()
+        pressed = self.subset.pressed(now, saturated(self.gateway))
+        if self.subset.wake(now) or pressed:
+            self._tell_roster(self.subset.members(), True)
 
     def _as_agreed(self, entry: Listed) -> Listed:
         """Discovery knows nothing of work: what it lists as on drains while it is out."""
@@ -200,6 +249,7 @@
 
     def woken(self) -> None:
         self.gateway.wake(self.clock.now())
+        self._fit_subset()
 
     def end_all(self) -> None:
         """The node has to go: whatever is still open gets the answer that it may have."""
--- a/merlintally/net/node.py
+++ b/merlintally/net/node.py
@@ -10,6 +10,7 @@
 import traceback
 from collections.abc import Awaitable, Callable, Iterable
 from contextlib import ExitStack
+from dataclasses import replace
 from functools import partial
 
 import anyio
@@ -26,6 +27,7 @@
 from merlintally.net.servers import Fleet
 from merlintally.net.sockets import Allowance
 from merlintally.net.timers import Clock, Timers
+from merlintally.subsets import USUAL, Terms
 
 Part = Callable[["EdgeNode", Keeper], Awaitable[None]]
 
@@ -213,12 +215,17 @@
         group.cancel_scope.cancel()
 
 
-def main(make_log: Callable[[Deployment], Log] | None = None, parts: Iterable[Part] = ()) -> int:
+def main(
+    make_log: Callable[[Deployment], Log] | None = None,
+    parts: Iterable[Part] = (),
+    subsets: Terms | None = USUAL,
+) -> int:
     """Run the node that LB_CONFIG describes; gives the exit code: 0 after a clean leave, 1 where it can't
-    serve, 2 for a faulty configuration. `make_log` makes its log, else lines are plain."""
+    serve, 2 for a faulty configuration. `make_log` makes its log, else lines are plain; `subsets` of app
+    servers, None: off."""
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # guards against one that comes too early, or while it ends
     try:
-        deployment = read_deployment(os.environ)
+        deployment = replace(read_deployment(os.environ), subsets=subsets)
     except Faulty as wrong:
         print(f"merlintally: {wrong}", file=sys.stderr)
         return 2
--- a/merlintally/net/servers.py
+++ b/merlintally/net/servers.py
@@ -11,13 +11,14 @@
 
 from merlintally.fields import Malformed
 from merlintally.interface import LoadReport, Outcome, Presence
-from merlintally.net.configuration import Address, Deployment, Listed
+from merlintally.net.configuration import Address, Deployment
 from merlintally.net.log import Log
 from merlintally.net.post import Owner
 from merlintally.net.resp import array_at, bulk, line_end
 from merlintally.net.sockets import Allowance, Stream, connect, tcp_socket
 from merlintally.net.taken import Answer, Execution
 from merlintally.net.timers import Clock
+from merlintally.subsets import Listing
 
 FIGURE = re.compile(r"([a-z0-9_]+)=(-?[0-9]{1,12}(?:\.[0-9]{1,12})?)")
 ERROR = re.compile(rb"-(BUSY|ERR)((?: [!-~]+)*)")
@@ -184,7 +185,7 @@
 
 
 class Fleet:
-    """All app servers that discovery has named."""
+    """The app servers that this node works with."""
 
     def __init__(
         self,
@@ -203,7 +204,7 @@
         self.retire_after = deployment.idle_close * deployment.bounds.idle_share
         self.servers: dict[str, Server] = {}
 
-    def roster(self, entries: Iterable[Listed], complete: bool) -> None:
+    def roster(self, entries: Iterable[Listing], complete: bool) -> None:
         """Take a list or its changes. What drains or is gone keeps its executions and gets nothing more."""
         named = set()
         for entry in entries:
--- a/merlintally/operators/file.py
+++ b/merlintally/operators/file.py
@@ -10,6 +10,7 @@
 from msgspec import Meta, Struct
 
 from merlintally.forms import read_file
+from merlintally.subsets import USUAL, Terms
 
 
 class LogPart(Struct, frozen=True, forbid_unknown_fields=True):
@@ -121,6 +122,49 @@
             yield "lease_s", f"{self.lease_s:g} is below three times renew_s"
 
 
+class SubsetsPart(Struct, frozen=True, forbid_unknown_fields=True):
+    """With how many app servers a node works where the list is long."""
+
+    enabled: Annotated[
+        bool, Meta(description="whether a node works with a part of a long list; false: always all of it")
+    ] = True
+    size: Annotated[
+        int, Meta(ge=8, le=100_000, description="servers of a subset at least, and not quite twice as many")
+    ] = USUAL.size
+    whole_up_to: Annotated[
+        int, Meta(ge=1, le=1_000_000, description="listed servers up to which all of them are used")
+    ] = USUAL.whole_up_to
+    least: Annotated[
+        int, Meta(ge=2, le=100_000, description="serving servers in a subset while more are alive")
+    ] = USUAL.least
+    unanswered: Annotated[
+        int, Meta(ge=1, le=100, description="attempts in a row without an answer, then a server is failing")
+    ] = USUAL.unanswered
+    settle_s: Annotated[
+        float, Meta(ge=1, le=3600, description="until a subset that may be smaller shrinks, seconds")
+    ] = USUAL.settle_s
+    pressed_s: Annotated[
+        float, Meta(gt=0, le=600, description="of saturation until a subset grows a step, seconds")
+    ] = USUAL.pressed_s
+
+    def faults(self) -> Iterator[tuple[str, str]]:
+        if self.least > self.size:
+            yield "least", f"{self.least} is above size, {self.size}"
+
+    def terms(self) -> Terms | None:
+        """As the node takes them; None: off."""
+        if not self.enabled:
+            return None
+        return Terms(
+            size=self.size,
+            whole_up_to=self.whole_up_to,
+            least=self.least,
+            unanswered=self.unanswered,
+            settle_s=self.settle_s,
+            pressed_s=self.pressed_s,
+        )
+
+
 class RecordPart(Struct, frozen=True, forbid_unknown_fields=True):
     """The node's own record of what it did, for `lab faults check`."""
 
@@ -134,6 +178,7 @@
     lab: LabPart = LabPart()
     cluster: ClusterPart = ClusterPart()
     record: RecordPart = RecordPart()
+    subsets: SubsetsPart = SubsetsPart()
 
 
 def read_operators(path: str | Path) -> Operators:
--- a/merlintally/subsets/core.py
+++ b/merlintally/subsets/core.py
@@ -36,15 +36,18 @@
     pressed_s: float = 2.0  # for which a subset is saturated before it grows a step
 
 
+USUAL = Terms()
+
+
 class Subset:
     """Follows the list, and says which of its servers this node works with.
 
-    `listed` gives what is to be told of a list or its changes. `reported`, `pressed` and `wake` say whether the
-    subset has changed otherwise: then `members` is the whole of it.
+    `listed` gives what is to be told of a list or its changes. `reported`, `pressed` and `wake` say whether
+    the subset has changed otherwise: then `members` is the whole of it.
     """
 
     def __init__(
-        self, number: int, nodes: int, terms: Terms = Terms(), mistakes: frozenset[str] = frozenset()
+        self, number: int, nodes: int, terms: Terms = USUAL, mistakes: frozenset[str] = frozenset()
     ) -> None:
         self.nodes, self.terms, self.mistakes = nodes, terms, mistakes
         self.level = 0
@@ -57,6 +60,11 @@
         self.steps, self._pressed_since, self._eased_since = 0, -1.0, -1.0
         self._shrinks_at = float("inf")
 
+    @property
+    def bounded(self) -> bool:
+        """Whether the list is, or has been, too long to be used whole."""
+        return self._placed
+
     @property
     def whole(self) -> bool:
         """Whether the list is used whole."""
@@ -71,10 +79,7 @@
         self, now: float, entries: Sequence[Listing], complete: bool
     ) -> tuple[Sequence[Listing], bool]:
         """Take a list or its changes; gives those to be told, and whether they are the whole subset."""
-        if complete:
-            told = self._take_all(entries)
-        else:
-            told = [entry for entry in entries if self._take(entry)]
+        told = self._take_all(entries) if complete else [one for one in entries if self._take(one)]
         was_small = self.level > 0 and not self._placed
         if not self._placed and len(self.rows) > self.terms.whole_up_to:
             self._place_all()
@@ -109,6 +114,8 @@
 
     def pressed(self, now: float, saturated: bool) -> bool:
         """Whether this node finds its subset saturated; whether the subset has changed by it."""
+        if not self._placed:
+            return False
         if not saturated:
             self._pressed_since = -1.0
             self._eased_since = now if self._eased_since < 0 else self._eased_since
@@ -130,6 +137,7 @@
     # How servers are kept.
 
     def _take_all(self, entries: Sequence[Listing]) -> list[Listing]:
+        """Take a whole list; gives nothing, as it is told as a whole."""
         before, self.rows = self.rows, {}
         self._serving = [{} for _ in self._serving]
         for entry in entries:
--- a/merlintally/subsets/descent.py
+++ b/merlintally/subsets/descent.py
@@ -1,9 +1,9 @@
 """Which servers a node shares, by a hash: nodes in classes, each server with one node of every class.
 
 At level L there are 2^L classes; node i belongs to class i mod 2^L. A server picks one node of each class, so
-that it is in exactly 2^L subsets. The pick descends: class c falls into c and c + 2^L of the next level, a coin
-weighted by how many nodes each has says which, and so on until one node is left. A node's subset at one level is
-therefore part of its subset at the next, up to the whole list.
+that it is in exactly 2^L subsets. The pick descends: class c falls into c and c + 2^L of the next level, a
+coin weighted by how many nodes each has says which, and so on until one node is left. A node's subset at one
+level is therefore part of its subset at the next, up to the whole list.
 """
 
 from __future__ import annotations
