Subsets grow for work that waits while their servers answer easily

Change: while work waits for a place and the servers answer easily, a node takes one more step of the doubling each two seconds, two at the most; the places at the servers it takes on are counted as shared by as many nodes as before.

--- a/merlintally/lab/schedules/subset_room.py
+++ b/merlintally/lab/schedules/subset_room.py
@@ -15,7 +15,7 @@
 
 from merlintally.choice import Gateway, Submission
 from merlintally.interface import LaneFacts, PlanFacts, ServerFacts, StartFacts
-from merlintally.net.keeper import saturated
+from merlintally.net.keeper import waits_for_place
 from merlintally.subsets import Entry, Subset, Terms
 from merlintally.subsets.records import Listing
 
@@ -65,7 +65,8 @@
     hot: float = 1.0  # how much more
     zones: int = 7
     lost: bool = False  # a zone falls silent halfway through the warm-up
-    grows: bool = True  # whether saturation grows a subset
+    grows: bool = True  # whether work that waits grows a subset
+    played: int = 0  # nodes that are there; 0: all. Others send nothing
     warm_s: float = 4.0
     length_s: float = 4.0
     seed: int = 1
@@ -170,7 +171,7 @@
         self.gateway.wake(self.play.now)
         self.play.spent(began)
         if self.subset is not None:
-            now, press = self.play.now, self.play.case.grows and saturated(self.gateway)
+            now, press = self.play.now, self.play.case.grows and waits_for_place(self.gateway)
             if self.subset.pressed(now, press) or self.subset.wake(now):
                 self.tell(self.subset.members(), True)
         self.carry_out()
@@ -234,7 +235,7 @@
             )
             for at, name in enumerate(names)
         ]
-        self.nodes = [Node(self, number) for number in range(case.nodes)]
+        self.nodes = [Node(self, number) for number in range(case.played or case.nodes)]
         self.numbers = count(1)
 
     def after(self, wait: float, call: Callable[..., None], *args: Any) -> None:
@@ -282,7 +283,7 @@
         able = case.servers * WORKERS / (sum(WORK_S) / 2)
         weights = [case.hot if node.hot else 1.0 for node in self.nodes]
         for node, weight in zip(self.nodes, weights, strict=True):
-            rate = able * case.load * weight / sum(weights)
+            rate = able * case.load * weight / sum(weights) * len(self.nodes) / case.nodes
             self.after(self.chance.expovariate(rate), self.come, node, rate)
             node.carry_out()
         if case.lost:
--- a/merlintally/net/keeper.py
+++ b/merlintally/net/keeper.py
@@ -41,9 +41,10 @@
     return Subset(facts.number, facts.gateways, deployment.subsets)
 
 
-def saturated(gateway: Gateway) -> bool:
-    """Whether work waits while answers from this gateway's servers take much longer than they need."""
-    return gateway.strain > SATURATED and any(gateway.lines.values())
+def waits_for_place(gateway: Gateway) -> bool:
+    """Whether work waits though this node's servers answer easily: more of them have more places. Guards
+    against subsets that grow wherever the whole fleet is too slow, for nothing."""
+    return gateway.strain < SATURATED and any(gateway.lines.values())
 
 
 class Keeper:
@@ -224,11 +225,11 @@
             self._tell_roster(self.subset.members(), True)
 
     def _fit_subset(self) -> None:
-        """Grow the subset while it is saturated, and shrink it once a smaller one has been enough."""
+        """Grow the subset while work waits for places in it; shrink it once a smaller one has been enough."""
         if self.subset is None or not self.subset.bounded:
             return
         now = self.clock.now()
-        pressed = self.subset.pressed(now, saturated(self.gateway))
+        pressed = self.subset.pressed(now, waits_for_place(self.gateway))
         if self.subset.wake(now) or pressed:
             self._tell_roster(self.subset.members(), True)
 
--- a/merlintally/operators/file.py
+++ b/merlintally/operators/file.py
@@ -144,7 +144,8 @@
         float, Meta(ge=1, le=3600, description="until a subset that may be smaller shrinks, seconds")
     ] = USUAL.settle_s
     pressed_s: Annotated[
-        float, Meta(gt=0, le=600, description="of saturation until a subset grows a step, seconds")
+        float,
+        Meta(gt=0, le=600, description="for which work waits for a place until a subset grows, seconds"),
     ] = USUAL.pressed_s
 
     def faults(self) -> Iterator[tuple[str, str]]:
--- a/merlintally/subsets/core.py
+++ b/merlintally/subsets/core.py
@@ -10,7 +10,7 @@
 
 ZONE_SHARE = 0.05  # of the serving servers, from which a zone counts as one that a subset can span
 ZONES = 2  # that a subset's serving servers lie in, where as many count
-MOST_STEPS = 2  # that a node's own saturation adds
+MOST_STEPS = 2  # that a node adds for work that waits
 MISTAKES = (  # planted by name, in tests only
     "each node has its own hash",
     "shrinks below its least",
@@ -33,7 +33,7 @@
     least: int = 64  # serving servers in a subset while more are alive
     unanswered: int = 3  # attempts in a row, from which a server counts as failing
     settle_s: float = 60.0  # for which a smaller subset has to be enough before it shrinks
-    pressed_s: float = 2.0  # for which a subset is saturated before it grows a step
+    pressed_s: float = 2.0  # for which work waits for a place before a subset grows a step
 
 
 USUAL = Terms()
@@ -50,11 +50,12 @@
         self, number: int, nodes: int, terms: Terms = USUAL, mistakes: frozenset[str] = frozenset()
     ) -> None:
         self.nodes, self.terms, self.mistakes = nodes, terms, mistakes
-        self.level = 0
+        self.level = self._start = 0
         self.rows = dict[str, bytes]()  # by server: all that are listed
         self._prefix = f"{number}:" if "each node has its own hash" in mistakes else ""
         self._descent, self._packing = Descent(number, nodes), Rows()
-        self._placed = False  # small lists are used whole: which server joins when is not looked up
+        self._short = dict[str, Listing]()  # the list, until it has been too long to be used whole
+        self._placed = False  # until then it is not looked up which server joins when
         self._serving: list[dict[int, int]] = [{} for _ in range(self._descent.top + 1)]  # by level and zone
         self._unanswered = dict[str, int]()  # attempts in a row, by server
         self.steps, self._pressed_since, self._eased_since = 0, -1.0, -1.0
@@ -72,19 +73,25 @@
 
     @property
     def sharing(self) -> int:
-        """How many nodes send to one server."""
-        return self.nodes if self.whole else 1 << self.level
+        """How many nodes send to one server. Steps of this node's own are not those of others."""
+        level = max(self._start, self.level - self.steps)
+        return min(self.nodes, 1 << level) if self._placed else self.nodes
 
     def listed(
         self, now: float, entries: Sequence[Listing], complete: bool
     ) -> tuple[Sequence[Listing], bool]:
         """Take a list or its changes; gives those to be told, and whether they are the whole subset."""
-        told = self._take_all(entries) if complete else [one for one in entries if self._take(one)]
-        was_small = self.level > 0 and not self._placed
-        if not self._placed and len(self.rows) > self.terms.whole_up_to:
-            self._place_all()
-        if was_small and len(self.rows) > 2 * self.terms.whole_up_to:
-            self._shrinks_at = now  # guards against thousands of servers used whole until it settles
+        if not self._placed:
+            if self._stays_short(entries, complete):
+                self.level = self._descent.top
+                return entries, complete
+            self._take_all(list(self._short.values()))
+            self._short.clear()
+            if len(self.rows) > 2 * self.terms.whole_up_to:
+                self._shrinks_at = now  # guards against thousands of servers used whole until it settles
+            told = list[Listing]()
+        else:
+            told = self._take_all(entries) if complete else [one for one in entries if self._take(one)]
         if self._settle(now):
             return self.members(), True
         if self.whole:
@@ -95,13 +102,15 @@
 
     def members(self) -> list[Listing]:
         """The whole subset."""
+        if not self._placed:
+            return list(self._short.values())
         unpack, level = self._packing.unpack, self.level
         return [unpack(name, row) for name, row in self.rows.items() if row[LEVEL_AT] <= level]
 
     def reported(self, now: float, server: str, answered: bool) -> bool:
         """An attempt at a server has ended; whether the subset has changed by it."""
         row, before = self.rows.get(server), self._unanswered.get(server, 0)
-        if not self._placed or row is None or row[LEVEL_AT] > self.level or (answered and not before):
+        if row is None or row[LEVEL_AT] > self.level or (answered and not before):
             return False
         self._count(server, row, -1)
         if answered:
@@ -112,11 +121,11 @@
         crossed = before >= self.terms.unanswered if answered else before + 1 == self.terms.unanswered
         return crossed and self._settle(now)
 
-    def pressed(self, now: float, saturated: bool) -> bool:
-        """Whether this node finds its subset saturated; whether the subset has changed by it."""
+    def pressed(self, now: float, waits: bool) -> bool:
+        """Whether this node's work waits for a place in its subset; whether the subset has changed by it."""
         if not self._placed:
             return False
-        if not saturated:
+        if not waits:
             self._pressed_since = -1.0
             self._eased_since = now if self._eased_since < 0 else self._eased_since
             if self.steps and now - self._eased_since >= self.terms.settle_s:
@@ -136,6 +145,20 @@
 
     # How servers are kept.
 
+    def _stays_short(self, entries: Sequence[Listing], complete: bool) -> bool:
+        """Whether the list is still one to be used whole; with two nodes any is."""
+        if self._descent.top <= 1:
+            return True
+        if complete:
+            self._short.clear()
+        for entry in entries:
+            if entry.facts.presence == "gone":
+                self._short.pop(entry.facts.server, None)
+            else:
+                self._short[entry.facts.server] = entry
+        self._placed = len(self._short) > self.terms.whole_up_to
+        return not self._placed
+
     def _take_all(self, entries: Sequence[Listing]) -> list[Listing]:
         """Take a whole list; gives nothing, as it is told as a whole."""
         before, self.rows = self.rows, {}
@@ -173,18 +196,9 @@
     def _level_of(self, name: str, old: bytes | None) -> int:
         if old is not None:
             return old[LEVEL_AT]
-        if not self._placed:
-            return 0
         level = self._descent.joins_at(self._prefix + name)
         return max(0, level - ("newcomers join twice as many subsets" in self.mistakes))
 
-    def _place_all(self) -> None:
-        """The list has become too long to be used whole."""
-        self._placed = True
-        self._serving = [{} for _ in self._serving]
-        for name, row in self.rows.items():
-            self._put(name, bytes((self._descent.joins_at(self._prefix + name),)) + row[1:])
-
     def _forget_attempts(self, entry: Listing, old: bytes | None) -> None:
         """What is listed anew, or otherwise than before, may answer again."""
         if "a returned zone stays failing" in self.mistakes:
@@ -228,9 +242,10 @@
     def _wanted(self) -> int:
         """The lowest level that is enough: by the list's size, by servers and zones that serve, by load."""
         top, terms = self._descent.top, self.terms
-        if not self._placed or len(self.rows) <= terms.whole_up_to:
+        if len(self.rows) <= terms.whole_up_to:
             return top
-        level = min(top, start_level(self.nodes, len(self.rows), terms.size) + self.steps)
+        self._start = start_level(self.nodes, len(self.rows), terms.size)
+        level = min(top, self._start + self.steps)
         every = _added(self._serving)
         alive = sum(every.values())
         least, zones = terms.least, min(ZONES, _zones(every, alive))
--- a/tests/test_subsets.py
+++ b/tests/test_subsets.py
@@ -184,13 +184,15 @@
     assert subset.whole and members(subset) == names(listed)
 
 
-def test_a_saturated_subset_grows_step_by_step_to_a_bound() -> None:
+def test_work_that_waits_grows_a_subset_step_by_step_to_a_bound() -> None:
     subset, _ = small()
     sizes = [len(subset.members())]
     for at in range(40):
         if subset.pressed(at * 0.2, True):
             sizes.append(len(subset.members()))
-    assert sizes == sorted(set(sizes)) and len(sizes) == 3
+    assert (
+        sizes == sorted(set(sizes)) and len(sizes) == 3 and subset.sharing == 2
+    )  # the others have not grown
     subset.pressed(10.0, False)
     assert not subset.pressed(13.9, False) and subset.level == 3
     for at in range(10):
