Subsets: the log tells when a subset changes; tests of work that waits

Need: operators have to see with how many servers a node works, and why tests of the growth alone missed the wiring. Change: event subset.changed with servers and listed; a test of the keeper's wiring and one of a node with most of the work.

--- a/merlintally/net/keeper.py
+++ b/merlintally/net/keeper.py
@@ -56,7 +56,7 @@
     def __init__(self, deployment: Deployment, clock: Clock, log: Log) -> None:
         self.clock, self.log, self.most_open = clock, log, deployment.most_open
         self.gateway = Gateway(deployment.facts, deployment.seed, clock.now())
-        self.subset = subset_of(deployment)
+        self.subset, self.subset_level = subset_of(deployment), 0  # as last told in the log
         self.fleet: Fleet
         self.timers: Timers
         self.counter: Counter | None = None
@@ -211,11 +211,21 @@
 
     def _tell_roster(self, entries: Sequence[Listing], complete: bool) -> None:
         """What has left the subset is told as gone: its attempts end, and it gets nothing more."""
-        if self.subset is not None and self.subset.sharing != self.gateway.sharing:
-            self.gateway.share(self.subset.sharing)
+        if self.subset is not None:
+            self._follow_subset(self.subset)
         self.fleet.roster(entries, complete)
         self.gateway.roster(self.clock.now(), [entry.facts for entry in entries], complete)
 
+    def _follow_subset(self, subset: Subset) -> None:
+        if subset.sharing != self.gateway.sharing:
+            self.gateway.share(subset.sharing)
+        if subset.bounded and subset.level != self.subset_level:
+            self.subset_level = subset.level
+            size, listed = subset.size, len(subset.rows)
+            self.log.say(
+                f"works with {size} of {listed} app servers", "subset.changed", servers=size, listed=listed
+            )
+
     def _judged(self, server: str, execution: Execution, outcome: Outcome) -> None:
         """An attempt has ended: a server that leaves several without an answer counts as failing. Guards
         against attempts that this node held back itself, which say nothing of the server."""
--- a/merlintally/subsets/core.py
+++ b/merlintally/subsets/core.py
@@ -66,6 +66,13 @@
         """Whether the list is, or has been, too long to be used whole."""
         return self._placed
 
+    @property
+    def size(self) -> int:
+        """How many servers are in it."""
+        if not self._placed:
+            return len(self._short)
+        return sum(row[LEVEL_AT] <= self.level for row in self.rows.values())
+
     @property
     def whole(self) -> bool:
         """Whether the list is used whole."""
--- a/tests/test_subsets.py
+++ b/tests/test_subsets.py
@@ -249,6 +249,13 @@
     assert found.taken > 500 and found.refused <= 0.04 * found.taken and found.largest < 100
 
 
+def test_a_node_with_most_of_the_work_grows_its_subset_and_refuses_little() -> None:
+    terms = Terms(size=24, whole_up_to=40, least=12, pressed_s=0.5)
+    case = Case(16, 200, terms, load=0.6, hot_share=1 / 16, hot=20.0, warm_s=4.0, length_s=1.0)
+    found, without = (Play(one).run() for one in (case, replace(case, grows=False)))
+    assert found.refused <= 0.04 * found.taken < 0.2 * without.taken < without.refused
+
+
 def test_all_nodes_together_send_a_cold_server_no_more_than_is_stated() -> None:
     """All take on all servers at once, as after the loss of most: each budget is a part of one server's."""
     nodes, answers, warm, fresh = 40, 30.0, entries(200), entries(20, first=200)
@@ -344,6 +351,28 @@
     assert set(made.gateway.servers) == {*inside, busy.name} and busy.presence == "gone"
 
 
+class Line:
+    """Stands in for a submission that waits; the decisions drop it as soon as they look at it."""
+
+    closed = True
+
+
+def test_work_that_waits_while_servers_answer_easily_grows_the_subset() -> None:
+    made = keeper_of(SMALL._replace(pressed_s=1e-9), 60)
+    before = len(made.gateway.servers)
+    made._fit_subset()
+    assert len(made.gateway.servers) == before
+    next(iter(made.gateway.lines.values())).append(Line())  # type: ignore[arg-type]
+    made.gateway.strain = 2.0  # the servers answer slowly: it may be so everywhere
+    made._fit_subset()
+    made._fit_subset()
+    assert len(made.gateway.servers) == before
+    made.gateway.strain = 1.0
+    made._fit_subset()
+    made._fit_subset()
+    assert len(made.gateway.servers) > before and made.gateway.sharing == 2
+
+
 def run_node(
     standins: Sequence[Standin], terms: Terms, nodes: int, asks: int
 ) -> tuple[list[bytes], list[int], list[Keeper]]:
