Subsets: other sizes measured; a change costs the cluster's list of servers no whole copy

Need: the size of a subset has to be weighed, and with the cluster on each change of the list copied all that is shown of it. Change: subset_cost measures sizes 32 to 256 at 9,200 servers; Keeper.listed changes shown in place.

--- a/merlintally/lab/schedules/subset_cost.py
+++ b/merlintally/lab/schedules/subset_cost.py
@@ -16,11 +16,13 @@
 
 from merlintally.choice import Gateway
 from merlintally.interface import ServerFacts
+from merlintally.lab.schedules.subset_options import loads, names_of, spread
 from merlintally.lab.schedules.subset_room import FACTS, LANE, Case, Play
-from merlintally.subsets import Entry, Listing, Subset, Terms
+from merlintally.subsets import Descent, Entry, Listing, Subset, Terms, start_level
 
 NODES, NUMBER = 670, 3
 SIZES = (200, 512, 2000, 9200)
+SUBSET_SIZES = (32, 64, 128, 256)
 REQUESTS, CHANGES = 2000, 400
 ANSWER_S, EVERY_S = 0.3, 1 / 63
 
@@ -145,6 +147,30 @@
     return Play(case).run().row()
 
 
+def evenness(servers: int, size: int) -> tuple[float, list[int]]:
+    """Expected load, most over least, and the sizes of all nodes' subsets."""
+    names, level = names_of(servers), start_level(NODES, servers, size)
+    subsets = list[dict[str, float]]()
+    for number in range(NODES):
+        descent = Descent(number, NODES)
+        subsets.append({name: 1.0 for name in names if descent.joins_at(name) <= level})
+    return spread(loads(subsets, dict.fromkeys(names, 1.0))), [len(subset) for subset in subsets]
+
+
+def by_size(servers: int) -> None:
+    """Other sizes of a subset at the operators' size."""
+    for size in SUBSET_SIZES:
+        terms = Terms(size=size)
+        uneven, sizes = evenness(servers, size)
+        times, row = request_ms(servers, terms), connections(servers, terms)
+        print(
+            f"{servers}, size {size}: subsets of {min(sizes)} to {max(sizes)}, load {uneven:.3f}; request "
+            f"{median(times):.3f} ms; handshakes a request {row['handshakes a request']}, "
+            f"connections {row['connections a node']}",
+            flush=True,
+        )
+
+
 def main() -> None:
     for servers in SIZES:
         for name, terms in (("whole", None), ("subsets", Terms())):
@@ -159,6 +185,7 @@
                 f"{row['handshakes a request']}, connections {row['connections a node']}",
                 flush=True,
             )
+    by_size(SIZES[-1])
     print(f"kept of a server outside: {outside_bytes(9200):.0f} bytes")
 
 
--- a/merlintally/net/keeper.py
+++ b/merlintally/net/keeper.py
@@ -190,8 +190,11 @@
         if self.shown is not None:
             if complete:
                 self.shown.clear()
-            self.shown.update((entry.facts.server, entry) for entry in entries)
-            self.shown = {name: entry for name, entry in self.shown.items() if entry.facts.presence != "gone"}
+            for entry in entries:
+                if entry.facts.presence == "gone":
+                    self.shown.pop(entry.facts.server, None)
+                else:
+                    self.shown[entry.facts.server] = entry
             entries = [self._as_agreed(entry) for entry in entries]
         self._take_list(entries, complete)
 
