--- a/merlintally/lab/schedules/subset_room.py
+++ b/merlintally/lab/schedules/subset_room.py
@@ -1,12 +1,13 @@
 """Many whole decision modules before one fleet in simulated time: what nodes refuse while the fleet has room,
-with subsets and without. `python -m merlintally.lab.schedules.subset_room` prints a line for each case."""
+with subsets and without. `python -m merlintally.lab.schedules.subset_room [WORDS...]` prints a line for each
+case, or for those whose names have one of the words: the largest take minutes."""
 
 from __future__ import annotations
 
 import heapq
 import sys
 import time
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field, replace
 from itertools import count
@@ -16,7 +17,7 @@
 from merlintally.choice import Gateway, Submission
 from merlintally.interface import LaneFacts, PlanFacts, ServerFacts, StartFacts
 from merlintally.net.keeper import waits_for_place
-from merlintally.subsets import Entry, Subset, Terms
+from merlintally.subsets import USUAL, Entry, Subset, Terms
 from merlintally.subsets.records import Listing
 
 LANE = LaneFacts("lane", 2.0, 4.0, 1.0, 0.0, "harmless", "all", 3.0)
@@ -300,25 +301,37 @@
         return found
 
 
-def cases(quick: bool) -> Iterator[tuple[str, Case]]:
-    """Sizes with subsets; without them where a request does not cost too much to try."""
-    terms = Terms()
-    for nodes, servers in ((20, 600), (200, 2000)) if quick else ((20, 600), (200, 2000), (670, 9200)):
-        for name, chosen in (("subsets", terms), ("whole", None)):
-            if chosen is None and servers > 2000:
+SIZES = ((20, 600), (200, 2000), (670, 9200))
+MOST_WHOLE = 2000  # servers: beyond it a request with the whole list costs too much to try
+
+
+def cases() -> Iterator[tuple[str, Case]]:
+    """Each size with subsets and, where that can be tried, without; and one node with most of the work."""
+    for nodes, servers in SIZES:
+        for form, terms in (("subsets", USUAL), ("whole", None)):
+            if terms is None and servers > MOST_WHOLE:
                 continue
-            plain = Case(nodes, servers, chosen)
-            yield f"{name} {nodes} x {servers}", plain
-            yield f"{name} {nodes} x {servers}, load 0.85", replace(plain, load=0.85)
-            yield f"{name} {nodes} x {servers}, 1 in 20 hot", replace(plain, hot_share=0.05, hot=6.0)
-            yield f"{name} {nodes} x {servers}, a zone silent", replace(plain, lost=True, load=0.6)
+            plain = Case(nodes, servers, terms, length_s=4.0 if servers <= MOST_WHOLE else 2.0)
+            name = f"{nodes} x {servers} {form}"
+            yield f"{name} even", plain
+            yield f"{name} even 0.85", replace(plain, load=0.85)
+            yield f"{name} hot", replace(plain, hot_share=0.05, hot=6.0)
+            yield f"{name} zone silent", replace(plain, lost=True, load=0.6)
+    one = Case(60, 1000, USUAL, load=0.6, hot_share=1 / 60, hot=30.0, warm_s=9.0)
+    yield "60 x 1000 subsets one node", one
+    yield "60 x 1000 stays one node", replace(one, grows=False)
+    yield "60 x 1000 whole one node", replace(one, terms=None)
+    yield "60 x 1000 subsets overload", replace(one, load=1.2, hot_share=0.0, warm_s=4.0)
+    yield "60 x 1000 whole overload", replace(one, load=1.2, hot_share=0.0, warm_s=4.0, terms=None)
 
 
 def main() -> None:
-    for name, case in cases("--quick" in sys.argv):
-        began = time.perf_counter()
-        row = Play(case).run().row()
-        print(name, row, f"{time.perf_counter() - began:.0f} s", flush=True)
+    for name, case in cases():
+        if not sys.argv[1:] or any(word in name for word in sys.argv[1:]):
+            began, play = time.perf_counter(), Play(case)
+            row = play.run().row()
+            levels = Counter(node.subset.level for node in play.nodes if node.subset is not None)
+            print(name, row, f"levels {dict(levels)}; {time.perf_counter() - began:.0f} s", flush=True)
 
 
 if __name__ == "__main__":
--- a/merlintally/lab/schedules/subsets.py
+++ b/merlintally/lab/schedules/subsets.py
@@ -18,7 +18,7 @@
 from merlintally.subsets.records import Listing
 
 TERMS = Terms(size=12, whole_up_to=20, least=6, settle_s=4.0, pressed_s=0.5)
-LENGTH_S, HEALED_S, LOOK_S = 20.0, 14.0, 0.7
+LENGTH_S, HEALED_S, LOOK_S = 20.0, 18.0, 0.7
 FAULTS = ("come", "go", "drain", "restart", "silent", "zone silent", "zone lost", "node", "pressed", "many")
 MOST_CHANGES, BURSTS = 60, 15  # servers replaced at once; and how often, in one schedule of four
 UNEVEN = 3.0  # expected load, most over least, of subsets this small
--- a/merlintally/operators/file.py
+++ b/merlintally/operators/file.py
@@ -145,7 +145,11 @@
     ] = USUAL.settle_s
     pressed_s: Annotated[
         float,
-        Meta(gt=0, le=600, description="for which work waits for a place until a subset grows, seconds"),
+        Meta(
+            gt=0,
+            le=600,
+            description="for which work waits for a place until a subset grows a step, seconds",
+        ),
     ] = USUAL.pressed_s
 
     def faults(self) -> Iterator[tuple[str, str]]:
--- a/merlintally/subsets/core.py
+++ b/merlintally/subsets/core.py
@@ -11,6 +11,8 @@
 ZONE_SHARE = 0.05  # of the serving servers, from which a zone counts as one that a subset can span
 ZONES = 2  # that a subset's serving servers lie in, where as many count
 MOST_STEPS = 2  # that a node adds for work that waits
+EASED = 3.0  # by which a moment without work that waits weighs more than one with it
+LOOK_S = 0.5  # seconds between two looks at what waits count for, at the most
 MISTAKES = (  # planted by name, in tests only
     "each node has its own hash",
     "shrinks below its least",
@@ -33,7 +35,9 @@
     least: int = 64  # serving servers in a subset while more are alive
     unanswered: int = 3  # attempts in a row, from which a server counts as failing
     settle_s: float = 60.0  # for which a smaller subset has to be enough before it shrinks
-    pressed_s: float = 2.0  # for which work waits for a place before a subset grows a step
+    pressed_s: float = (
+        2.0  # for which work waits, with short breaks at the most, before a subset grows a step
+    )
 
 
 USUAL = Terms()
@@ -58,7 +62,7 @@
         self._placed = False  # until then it is not looked up which server joins when
         self._serving: list[dict[int, int]] = [{} for _ in range(self._descent.top + 1)]  # by level and zone
         self._unanswered = dict[str, int]()  # attempts in a row, by server
-        self.steps, self._pressed_since, self._eased_since = 0, -1.0, -1.0
+        self.steps, self._waited, self._looked_at, self._eased_since = 0, 0.0, 0.0, -1.0
         self._shrinks_at = float("inf")
 
     @property
@@ -132,18 +136,16 @@
         """Whether this node's work waits for a place in its subset; whether the subset has changed by it."""
         if not self._placed:
             return False
-        if not waits:
-            self._pressed_since = -1.0
-            self._eased_since = now if self._eased_since < 0 else self._eased_since
-            if self.steps and now - self._eased_since >= self.terms.settle_s:
-                self.steps, self._eased_since = self.steps - 1, now
-                return self._settle(now)
-            return False
-        self._eased_since = -1.0
-        self._pressed_since = now if self._pressed_since < 0 else self._pressed_since
-        if self.steps >= MOST_STEPS or now - self._pressed_since < self.terms.pressed_s:
+        passed, self._looked_at = min(LOOK_S, now - self._looked_at), now
+        self._waited = max(0.0, self._waited + (passed if waits else -EASED * passed))
+        if waits or self._eased_since < 0:
+            self._eased_since = now
+        if self._waited >= self.terms.pressed_s and self.steps < MOST_STEPS:
+            self.steps, self._waited = self.steps + 1, 0.0
+        elif self.steps and now - self._eased_since >= self.terms.settle_s:
+            self.steps, self._eased_since = self.steps - 1, now
+        else:
             return False
-        self.steps, self._pressed_since = self.steps + 1, now
         return self._settle(now)
 
     def wake(self, now: float) -> bool:
