--- a/tests/test_subsets.py
+++ b/tests/test_subsets.py
@@ -4,7 +4,7 @@
 
 import io
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import replace
 from pathlib import Path
 
@@ -373,11 +373,14 @@
     assert len(made.gateway.servers) > before and made.gateway.sharing == 2
 
 
+Act = Callable[[Scene, Keeper], Awaitable[None]]
+
+
 def run_node(
-    standins: Sequence[Standin], terms: Terms, nodes: int, asks: int
+    standins: Sequence[Standin], terms: Terms, nodes: int, asks: int, act_more: Act | None = None
 ) -> tuple[list[bytes], list[int], list[Keeper]]:
     """A node of `nodes` with the stand-ins listed by discovery; how each was heard, and its keeper."""
-    discovery = Standin(lambda heard: listing(*standins) if discovery.accepted <= 1 else b"")
+    discovery = Standin(lambda heard: listing(*standins) if len(discovery.heard) == 1 else b"")
     deployment = told(known=known(*standins), discovery=discovery.address, subsets=terms)
     deployment = replace(deployment, facts=replace(deployment.facts, gateways=nodes, number=0))
     heard, keepers = list[bytes](), list[Keeper]()
@@ -395,6 +398,8 @@
             await until(lambda: bool(keepers))
             for _ in range(asks):
                 heard.append(await Scene(node).ask(said()))
+            if act_more is not None:
+                await act_more(Scene(node), keepers[0])
             group.cancel_scope.cancel()
 
     anyio.run(act)
@@ -421,6 +426,29 @@
     assert heard.count(HI) >= 20 and any(count for join, count in zip(joins, sent, strict=True) if join > 1)
 
 
+def test_an_attempt_at_a_server_that_leaves_the_subset_is_answered_and_no_other_begins() -> None:
+    terms = Terms(size=4, whole_up_to=5, least=2)
+    standins = [server() for _ in range(16)]
+    answers = list[bytes]()
+
+    async def act(scene: Scene, keeper: Keeper) -> None:
+        gate = anyio.Event()
+        for standin in standins:
+            standin.gate = gate
+        with await scene.connect() as sock:
+            sock.sendall(said())
+            await until(lambda: any(standin.heard for standin in standins))
+            await keeper.post(keeper._tell_roster, [], True)
+            sock.sendall(said())
+            await until(lambda: len(keeper.taken) == 2)
+            gate.set()
+            answers.append(await scene.hear(sock, until=1))
+            assert sum(len(standin.heard) for standin in standins) == 1 and len(keeper.taken) == 1
+
+    run_node(standins, terms, 8, 0, act)
+    assert answers == [HI]
+
+
 # The operators' file.
 
 
