Subsets: the planted mistake about newcomers is of newcomers alone

Cause: since short lists are kept apart, it befell the first list as well, which any schedule shows at once.

--- a/merlintally/subsets/core.py
+++ b/merlintally/subsets/core.py
@@ -192,7 +192,10 @@
                 return False
             return old is not None and old[LEVEL_AT] <= self.level
         self._forget_attempts(entry, old)
-        row = self._packing.pack(self._level_of(name, old), entry)
+        level = self._level_of(name, old)
+        if old is None and "newcomers join twice as many subsets" in self.mistakes:
+            level = max(0, level - 1)
+        row = self._packing.pack(level, entry)
         self._put(name, row)
         if entry.facts.presence == "draining" and "a drained server is kept" in self.mistakes:
             return False
@@ -205,8 +208,7 @@
     def _level_of(self, name: str, old: bytes | None) -> int:
         if old is not None:
             return old[LEVEL_AT]
-        level = self._descent.joins_at(self._prefix + name)
-        return max(0, level - ("newcomers join twice as many subsets" in self.mistakes))
+        return self._descent.joins_at(self._prefix + name)
 
     def _forget_attempts(self, entry: Listing, old: bytes | None) -> None:
         """What is listed anew, or otherwise than before, may answer again."""
