Subsets: work that waits for its customer's own cap grows no subset

Need: a line is also long where customers have as much out as they may; taking on servers helps nobody there, and costs each request. Change: a subset grows only while no place is free.

--- a/merlintally/lab/schedules/subset_room.py
+++ b/merlintally/lab/schedules/subset_room.py
@@ -172,7 +172,8 @@
         self.gateway.wake(self.play.now)
         self.play.spent(began)
         if self.subset is not None:
-            now, press = self.play.now, self.play.case.grows and waits_for_place(self.gateway)
+            now = self.play.now
+            press = self.play.case.grows and waits_for_place(self.gateway, now)
             if self.subset.pressed(now, press) or self.subset.wake(now):
                 self.tell(self.subset.members(), True)
         self.carry_out()
--- a/merlintally/net/keeper.py
+++ b/merlintally/net/keeper.py
@@ -41,10 +41,14 @@
     return Subset(facts.number, facts.gateways, deployment.subsets)
 
 
-def waits_for_place(gateway: Gateway) -> bool:
+def waits_for_place(gateway: Gateway, now: float) -> bool:
     """Whether work waits though this node's servers answer easily: more of them have more places. Guards
-    against subsets that grow wherever the whole fleet is too slow, for nothing."""
-    return gateway.strain < SATURATED and any(gateway.lines.values())
+    against subsets that grow for nothing: where the whole fleet is too slow, and for work that waits only
+    since its customer has as much out as it may."""
+    if gateway.strain >= SATURATED or not any(gateway.lines.values()):
+        return False
+    full = gateway.allowed(now) - gateway.out < 0.5
+    return full or not any(server.has_place(now) for server in gateway.servers.values())
 
 
 class Keeper:
@@ -242,7 +246,7 @@
         if self.subset is None or not self.subset.bounded:
             return
         now = self.clock.now()
-        pressed = self.subset.pressed(now, waits_for_place(self.gateway))
+        pressed = self.subset.pressed(now, waits_for_place(self.gateway, now))
         if self.subset.wake(now) or pressed:
             self._tell_roster(self.subset.members(), True)
 
--- a/tests/test_subsets.py
+++ b/tests/test_subsets.py
@@ -363,6 +363,10 @@
     made._fit_subset()
     assert len(made.gateway.servers) == before
     next(iter(made.gateway.lines.values())).append(Line())  # type: ignore[arg-type]
+    made._fit_subset()
+    made._fit_subset()
+    assert len(made.gateway.servers) == before  # places are free: it waits for something else
+    made.gateway.out = 1000
     made.gateway.strain = 2.0  # the servers answer slowly: it may be so everywhere
     made._fit_subset()
     made._fit_subset()
