Lab scale: slopes of a decision, by app servers, tenants known and open requests

What the real module spends on a request, in simulated time with measured processor time, with the wait for its own wake-ups beside it.

--- a/merlintally/lab/scale/slope.py
+++ b/merlintally/lab/scale/slope.py
@@ -12,6 +12,7 @@
 from merlintally.lab.scale.capacity import Capacity
 
 PREFIX = "slopes_"  # of the modules of this package that have SLOPES, a tuple of Slope and Derived
+SizeOf = Callable[[Capacity], int]
 BudgetOf = Callable[[Capacity], float | None]
 
 
@@ -78,14 +79,14 @@
     sizes: tuple[int, ...]
     quick_sizes: tuple[int, ...]
     measure: Measure
-    size_key: str  # the key of [size] that the cost is taken to
+    size_key: str | SizeOf  # the key of [size] that the cost is taken to, or a function
     budget: str | BudgetOf | None = None  # a key of [budget], a function, or no budget
     about: str = ""  # one line: what is measured, and what of it is simulated
     group: str = ""
     simulated: bool = False  # counted in simulated time, not measured on this machine
 
     def operators_size(self, capacity: Capacity) -> int:
-        return int(getattr(capacity.size, self.size_key))
+        return size_of(self.size_key, capacity)
 
     def budget_of(self, capacity: Capacity) -> float | None:
         return budget_of(self.budget, capacity)
@@ -120,17 +121,21 @@
     sizes: tuple[int, ...]
     sources: tuple[str, ...]
     work_out: Callable[[int, Costs], float]
-    size_key: str
+    size_key: str | SizeOf
     budget: str | BudgetOf | None = None
     about: str = ""
 
     def operators_size(self, capacity: Capacity) -> int:
-        return int(getattr(capacity.size, self.size_key))
+        return size_of(self.size_key, capacity)
 
     def budget_of(self, capacity: Capacity) -> float | None:
         return budget_of(self.budget, capacity)
 
 
+def size_of(key: str | SizeOf, capacity: Capacity) -> int:
+    return int(getattr(capacity.size, key)) if isinstance(key, str) else key(capacity)
+
+
 def budget_of(budget: str | BudgetOf | None, capacity: Capacity) -> float | None:
     if isinstance(budget, str):
         return float(getattr(capacity.budget, budget))
--- a/merlintally/lab/scale/slopes_lists.py
+++ b/merlintally/lab/scale/slopes_lists.py
@@ -2,28 +2,8 @@
 
 from __future__ import annotations
 
-import json
-
 from merlintally.lab.scale.slope import Context, Slope
-
-
-def entry(number: int, zones: int) -> dict[str, object]:
-    """One app server as discovery lists it."""
-    return {
-        "name": f"app-{number:05}",
-        "status": "SERVING",
-        "zone": f"zone-{number % zones}",
-        "group": number // zones % 16,
-        "since_ms": 0,
-        "weight": 1,
-        "type": "standard",
-        "address": f"10.{number >> 16 & 255}.{number >> 8 & 255}.{number & 255}:8080",
-    }
-
-
-def whole_list(servers: int, zones: int) -> bytes:
-    document = {"index": 1, "snapshot": True, "endpoints": [entry(one, zones) for one in range(servers)]}
-    return json.dumps(document, separators=(",", ":")).encode()
+from merlintally.lab.scale.workload import whole_list
 
 
 def whole_list_bytes(servers: int, context: Context) -> float:
--- /dev/null
+++ b/merlintally/lab/scale/usage.py
@@ -0,0 +1,84 @@
+"""The counter and the other nodes' use of tenants, modelled: they draw at random, at each tenant's mean rate.
+
+What the other nodes draw reaches the counter at once; they keep a count from falling far behind, as the
+module does. The truth about each tenant's store is kept beside it, to hold a node's view against.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+from dataclasses import dataclass
+from random import Random
+
+from merlintally.choice import KEEP
+from merlintally.lab.scale.workload import Tenant
+from merlintally.naming import phase
+
+MANY = 30.0  # draws from which their number is drawn as a normal one
+
+
+def poisson(random: Random, mean: float) -> int:
+    """A Poisson number.
+
+    >>> poisson(Random(1), 0.0)
+    0
+    """
+    if mean > MANY:
+        return max(0, round(random.gauss(mean, math.sqrt(mean))))
+    count, left = 0, random.random()
+    least = math.exp(-mean)
+    while left > least:
+        count, left = count + 1, left * random.random()
+    return count
+
+
+@dataclass
+class Use:
+    """One tenant's use by all nodes together."""
+
+    tenant: Tenant
+    at: float  # when the other nodes' draws were last drawn
+    store: float  # units that its quota truly has left
+    phase_s: float
+    count: int = 0  # name of the count that holds
+    total: float = 0.0  # in it
+
+
+class OtherNodes:
+    """All nodes but one, and the counter."""
+
+    def __init__(self, tenants: Iterable[Tenant], nodes: int, seed: int) -> None:
+        self.random, self.others_share = Random(seed), (nodes - 1) / nodes
+        self._uses: dict[str, Use] = {}
+        self._tenants = {one.key: one for one in tenants}
+
+    def use(self, key: str, now: float) -> Use:
+        """A tenant's use up to now."""
+        found = self._uses.get(key)
+        if found is None:
+            tenant = self._tenants[key]
+            found = self._uses[key] = Use(tenant, now, tenant.burst, phase(key) * KEEP)
+        passed = now - found.at
+        drawn = poisson(self.random, found.tenant.requests_per_s * self.others_share * passed)
+        found.at = now
+        found.total += drawn
+        found.store = min(found.tenant.burst, found.store + found.tenant.quota * passed)
+        found.store = max(0.0, found.store - drawn)
+        return found
+
+    def draw(self, key: str, now: float, units: float) -> None:
+        """The node itself draws; the counter hears of it by `add`."""
+        use = self.use(key, now)
+        use.store = max(0.0, use.store - units)
+
+    def add(self, now: float, key: str, name: int, amount: float) -> float:
+        """The count after the node's add."""
+        use = self.use(key, now)
+        elapsed = (now + use.phase_s) % KEEP
+        if name != use.count:
+            use.count = name
+            use.total = poisson(self.random, use.tenant.requests_per_s * self.others_share * elapsed)
+        level_least = use.tenant.quota * elapsed - use.tenant.burst
+        use.total = max(use.total, level_least) + amount
+        return use.total
