--- a/merlintally/lab/scale/driver.py
+++ b/merlintally/lab/scale/driver.py
@@ -13,17 +13,21 @@
 from random import Random
 from typing import Any, Protocol
 
-from merlintally.choice import Gateway, Submission
+from merlintally.choice import PACE, Gateway, Submission
 from merlintally.interface import ServerFacts, StartFacts
-from merlintally.lab.scale.workload import REQUEST_CLASS, Tenant
+from merlintally.lab.scale.workload import REQUEST_CLASS, Arrivals, Tenant
 
 ANSWER_S = 0.05  # mean answer time of an app server
 PATIENCE_S = 4.0  # that a client has
+QUICK_COUNTER_S = (0.002, 0.005)  # until the counter has answered
+SLOW_COUNTER_S = (0.05, 0.06)  # in time, and late enough for nodes to spare it
 
 
 class CounterModel(Protocol):
     """The counter, and with it the other nodes' use."""
 
+    slow: bool  # so that nodes make few calls
+
     def add(self, now: float, key: str, name: int, amount: float) -> float:
         """The count after an add."""
         ...
@@ -64,6 +68,8 @@
     module_s: float = 0.0  # processor time of all calls
     wake_s: float = 0.0  # and of wake-ups among them
     longest_wake_s: float = 0.0
+    notes_heard: int = 0
+    note_bytes_heard: int = 0
     note_s: float = 0.0  # and of notes heard
 
 
@@ -81,6 +87,8 @@
     ) -> None:
         self.now, self.random = began, Random(seed)
         self.gateway = Gateway(facts, seed, self.now)
+        if counter is not None and not counter.slow:
+            self.gateway.pace = PACE  # to which quick answers of the counter bring it within a minute
         self.answer_s, self.counter, self.watch = answer_s, counter, watch
         self.request_class, self.patience_s = REQUEST_CLASS, PATIENCE_S
         self.open: dict[int, Request] = {}
@@ -141,6 +149,8 @@
     def noted(self, peer: int, payload: bytes) -> None:
         """Another node's note is heard."""
         before = self.totals.module_s
+        self.totals.notes_heard += self.measuring
+        self.totals.note_bytes_heard += len(payload) * self.measuring
         self._call((), self.gateway.noted, self.now, peer, payload)
         self.totals.note_s += self.totals.module_s - before
 
@@ -218,7 +228,7 @@
     def _add(self, name: int, amount: float) -> None:
         self.totals.counter_calls += self.measuring
         if self.counter is not None:
-            elapsed = self.random.uniform(0.002, 0.005)
+            elapsed = self.random.uniform(*(SLOW_COUNTER_S if self.counter.slow else QUICK_COUNTER_S))
             total = self.counter.add(self.now, self.gateway.asking[name].key, name, amount)
             self.at(self.now + elapsed, self._counted, name, total, elapsed)
 
@@ -227,3 +237,16 @@
             if self.measuring and request.arrived >= self._began:
                 self.done.append(request)
             self.finished(request)
+
+
+def arrive_next(node: SimulatedNode, arrivals: Arrivals) -> None:
+    node.arrive(arrivals.tenant())
+
+
+def feed(node: SimulatedNode, arrivals: Arrivals, requests_per_s: float, requests: int) -> None:
+    """Poisson arrivals; runs until so many have come and could be answered."""
+    when = node.now
+    for _ in range(requests):
+        when += node.random.expovariate(requests_per_s)
+        node.at(when, arrive_next, node, arrivals)
+    node.run_until(when)
--- a/merlintally/lab/scale/runner.py
+++ b/merlintally/lab/scale/runner.py
@@ -184,7 +184,7 @@
         }
         if not measures:
             continue
-        said(f"{', '.join(measures)} at {size}")
+        said(f"{group[0].group or group[0].name} at {size}")
         try:
             for name, value in measure_point(measures, size, context).items():
                 points[name].append(Point(size, value))
--- a/merlintally/lab/scale/slopes_connections.py
+++ b/merlintally/lab/scale/slopes_connections.py
@@ -13,12 +13,11 @@
 from typing import Any, cast
 
 from merlintally.choice import FAMILIAR
-from merlintally.lab.scale.driver import SimulatedNode
+from merlintally.lab.scale.driver import SimulatedNode, arrive_next
 from merlintally.lab.scale.receiver import most_links
 from merlintally.lab.scale.slope import Context, Costs, Derived, Slope
-from merlintally.lab.scale.slopes_decision import arrive_next, server_facts
 from merlintally.lab.scale.usage import OtherNodes
-from merlintally.lab.scale.workload import Arrivals, deployment, entry, tenants_of
+from merlintally.lab.scale.workload import Arrivals, deployment, entry, server_facts, tenants_of
 from merlintally.net.configuration import Deployment, listed
 from merlintally.net.keeper import Keeper
 from merlintally.net.log import Log
--- a/merlintally/lab/scale/slopes_decision.py
+++ b/merlintally/lab/scale/slopes_decision.py
@@ -10,9 +10,8 @@
 import gc
 from functools import cache
 
-from merlintally.interface import ServerFacts
 from merlintally.lab.scale.capacity import Capacity
-from merlintally.lab.scale.driver import PATIENCE_S, SimulatedNode
+from merlintally.lab.scale.driver import PATIENCE_S, SimulatedNode, arrive_next, feed
 from merlintally.lab.scale.slope import Context, Slope
 from merlintally.lab.scale.usage import OtherNodes
 from merlintally.lab.scale.workload import (
@@ -21,11 +20,10 @@
     Arrivals,
     Tenant,
     deployment,
-    entry,
     plan_name,
+    server_facts,
     tenants_of,
 )
-from merlintally.net.configuration import listed
 from merlintally.notes import ROW
 
 REQUESTS, QUICK_REQUESTS = 2400, 600  # measured at each point: well within a minute of the peak
@@ -57,23 +55,6 @@
     return ordered[min(len(ordered) - 1, int(part * len(ordered)))]
 
 
-def server_facts(servers: int, zones: int) -> list[ServerFacts]:
-    return [listed(entry(one, zones)).facts for one in range(servers)]
-
-
-def arrive_next(node: SimulatedNode, arrivals: Arrivals) -> None:
-    node.arrive(arrivals.tenant())
-
-
-def feed(node: SimulatedNode, arrivals: Arrivals, requests_per_s: float, requests: int) -> None:
-    """Poisson arrivals; runs until so many have come and could be answered."""
-    when = node.now
-    for _ in range(requests):
-        when += node.random.expovariate(requests_per_s)
-        node.at(when, arrive_next, node, arrivals)
-    node.run_until(when)
-
-
 def requests_of(context: Context) -> int:
     return QUICK_REQUESTS if context.quick else REQUESTS
 
--- a/merlintally/lab/scale/usage.py
+++ b/merlintally/lab/scale/usage.py
@@ -11,10 +11,12 @@
 from dataclasses import dataclass
 from random import Random
 
-from merlintally.choice import KEEP
+from merlintally.choice import KEEP, RIGHT
 from merlintally.lab.scale.workload import Tenant
 from merlintally.naming import phase
 
+FULL_AFTER = 4.0  # times of filling up, after which a store counts as full
+STEPS = 8.0  # in which a time of filling up is looked at
 MANY = 30.0  # draws from which their number is drawn as a normal one
 
 
@@ -48,7 +50,8 @@
 class OtherNodes:
     """All nodes but one, and the counter."""
 
-    def __init__(self, tenants: Iterable[Tenant], nodes: int, seed: int) -> None:
+    def __init__(self, tenants: Iterable[Tenant], nodes: int, seed: int, slow: bool = False) -> None:
+        self.slow = slow  # the counter
         self.random, self.others_share = Random(seed), (nodes - 1) / nodes
         self._uses: dict[str, Use] = {}
         self._tenants = {one.key: one for one in tenants}
@@ -59,14 +62,23 @@
         if found is None:
             tenant = self._tenants[key]
             found = self._uses[key] = Use(tenant, now, tenant.burst, phase(key) * KEEP)
-        passed = now - found.at
-        drawn = poisson(self.random, found.tenant.requests_per_s * self.others_share * passed)
-        found.at = now
-        found.total += drawn
-        found.store = min(found.tenant.burst, found.store + found.tenant.quota * passed)
-        found.store = max(0.0, found.store - drawn)
+        passed, found.at = now - found.at, now
+        fills_in = found.tenant.burst / found.tenant.quota
+        if passed > FULL_AFTER * fills_in:  # use is below the quota: it was full again meanwhile
+            found.total += self._drawn(found, passed - FULL_AFTER * fills_in)
+            found.store, passed = found.tenant.burst, FULL_AFTER * fills_in
+        steps = 1 + int(STEPS * passed / fills_in)
+        for _ in range(steps):
+            drawn = self._drawn(found, passed / steps)
+            found.total += drawn
+            found.store = min(found.tenant.burst, found.store + found.tenant.quota * passed / steps)
+            found.store = max(0.0, found.store - drawn)
         return found
 
+    def _drawn(self, use: Use, passed: float) -> int:
+        """What the other nodes drew meanwhile."""
+        return poisson(self.random, use.tenant.requests_per_s * self.others_share * passed)
+
     def draw(self, key: str, now: float, units: float) -> None:
         """The node itself draws; the counter hears of it by `add`."""
         use = self.use(key, now)
@@ -79,6 +91,8 @@
         if name != use.count:
             use.count = name
             use.total = poisson(self.random, use.tenant.requests_per_s * self.others_share * elapsed)
-        level_least = use.tenant.quota * elapsed - use.tenant.burst
-        use.total = max(use.total, level_least) + amount
+        level = use.total - use.tenant.quota * elapsed
+        if level < -RIGHT * use.tenant.burst:  # the other nodes have put it right
+            use.total += -level - RIGHT / 2 * use.tenant.burst
+        use.total += amount
         return use.total
--- a/merlintally/lab/scale/workload.py
+++ b/merlintally/lab/scale/workload.py
@@ -10,7 +10,8 @@
 from random import Random
 from typing import Any
 
-from merlintally.net.configuration import Deployment, deployment_of
+from merlintally.interface import ServerFacts
+from merlintally.net.configuration import Deployment, deployment_of, listed
 
 SKEW = 0.9  # exponent of the Zipf law by which requests fall to tenants: most are seldom seen
 QUOTA_SHARE = 1.5  # a tenant's quota, at the least, in times of its mean use
@@ -162,3 +163,8 @@
 def whole_list(servers: int, zones: int) -> bytes:
     """The list of all app servers."""
     return page_bytes([entry(one, zones) for one in range(servers)], True)
+
+
+def server_facts(servers: int, zones: int) -> list[ServerFacts]:
+    """The app servers as the decisions are told of them."""
+    return [listed(entry(one, zones)).facts for one in range(servers)]
