--- a/merlintally/lab/scale/receiver.py
+++ b/merlintally/lab/scale/receiver.py
@@ -62,8 +62,8 @@
         self.answer += server.send(h11.Data(data=body)) or b""
 
     @property
-    def bytes(self) -> int:
-        """Of both, with their heads."""
+    def size(self) -> int:
+        """Bytes of both, with their heads."""
         return len(self.request) + len(self.answer)
 
     def _ask(self) -> tuple[bytes, h11.Connection]:
--- a/merlintally/lab/scale/slopes_decision.py
+++ b/merlintally/lab/scale/slopes_decision.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import gc
+import tracemalloc
 from functools import cache
 
 from merlintally.lab.scale.capacity import Capacity
@@ -26,6 +27,7 @@
 )
 from merlintally.notes import ROW
 
+MB = 1 << 20
 REQUESTS, QUICK_REQUESTS = 2400, 600  # measured at each point: well within a minute of the peak
 WARM_UP = 0.25  # of these, before
 FEW_SERVERS = 200  # app servers where something else grows
@@ -192,6 +194,18 @@
     return by_open(size, context).cost_p99
 
 
+def tenants_memory(known: int, context: Context) -> float:
+    """MB that the module holds for so many tenants (tracemalloc), a request of each having come."""
+    node = SimulatedNode(deployment(context.capacity.size.edge_nodes).facts, context.seed)
+    gc.collect()
+    tracemalloc.start()
+    make_known(node, known)
+    gc.collect()
+    held, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return held / MB
+
+
 def open_at_peak(capacity: Capacity) -> int:
     """Requests open at a node where answers take as long as clients wait."""
     return round(capacity.node_requests_per_s * PATIENCE_S)
@@ -251,6 +265,18 @@
             ("longest-wake", "ms", tenants_longest_wake, None, "its longest wake-up, all else waits"),
         )
     ),
+    Slope(
+        name="decision.memory.by-tenants",
+        role="edge node",
+        by="tenants known",
+        unit="MB",
+        sizes=TENANTS,
+        quick_sizes=QUICK_TENANTS,
+        measure=tenants_memory,
+        size_key="tenants",
+        budget="control_memory_mb",
+        about="memory that the module holds for the tenants it knows (tracemalloc)",
+    ),
     *(
         Slope(
             name=f"decision.{name}.by-open",
--- a/merlintally/lab/scale/slopes_lists.py
+++ b/merlintally/lab/scale/slopes_lists.py
@@ -59,7 +59,7 @@
 
 
 def whole_bytes(servers: int, context: Context) -> float:
-    return float(Watch(whole_body(servers, context)).bytes)
+    return float(Watch(whole_body(servers, context)).size)
 
 
 def whole_cost(servers: int, context: Context) -> float:
@@ -93,7 +93,7 @@
 
 
 def change_bytes(servers: int, context: Context) -> float:
-    return float(Watch(change_body(servers, context)).bytes)
+    return float(Watch(change_body(servers, context)).size)
 
 
 def change_cost(servers: int, context: Context) -> float:
@@ -103,7 +103,7 @@
 
 
 def zone_lost_bytes(servers: int, context: Context) -> float:
-    return float(Watch(page_bytes(lost_entries(servers, context), False, VERSION)).bytes)
+    return float(Watch(page_bytes(lost_entries(servers, context), False, VERSION)).size)
 
 
 @cache
@@ -129,7 +129,7 @@
 
 def poll_bytes(servers: int, context: Context) -> float:
     """A watch without news."""
-    return float(Watch(page_bytes([], False, VERSION)).bytes)
+    return float(Watch(page_bytes([], False, VERSION)).size)
 
 
 def poll_cost(servers: int, context: Context) -> float:
