--- a/merlintally/lab/scale/fit.py
+++ b/merlintally/lab/scale/fit.py
@@ -19,7 +19,7 @@
 }
 WITHIN = 2.0  # of the best form's error, up to which a simpler form is taken
 NEGLIGIBLE = 0.02  # relative error below which a form is as good as any
-LEAST_SHARE = 1e-3  # of the largest value, as which smaller ones are weighted
+LEAST_SHARE = 0.05  # of the largest value, as which smaller ones are weighted
 SMALLEST = 1e-12  # guards against a division by a value of zero
 
 
--- a/merlintally/lab/scale/slopes_tenants.py
+++ b/merlintally/lab/scale/slopes_tenants.py
@@ -9,7 +9,6 @@
 
 from dataclasses import dataclass
 from functools import cache
-from statistics import median
 
 from merlintally.choice import KEEP, Customer
 from merlintally.lab.scale.capacity import Capacity
@@ -31,7 +30,7 @@
 class Knowledge:
     """How well a node knew its tenants' use at its requests."""
 
-    age_s: float  # of the last word of others' use: median, at the most an epoch of the counter
+    age_s: float  # of the last word of others' use: mean, at the most an epoch of the counter
     error: float  # of the store believed, beside the true one: mean, as a share of the burst
     refused_with_room: float  # share of requests
     let_in_without: float  # share of requests
@@ -115,7 +114,7 @@
     totals = node.stop_measuring()
     decisions = len(witness.ages)
     knowledge = Knowledge(
-        age_s=median(witness.ages),
+        age_s=sum(witness.ages) / decisions,
         error=sum(witness.errors) / decisions,
         refused_with_room=witness.refused / decisions,
         let_in_without=witness.let_in / decisions,
@@ -288,7 +287,7 @@
                 "s",
                 counter_age,
                 None,
-                "age of what a node knows of others' use of a tenant, median at its requests, 60 at the most",
+                "age of what a node knows of others' use of a tenant, mean over requests, 60 at the most",
             ),
             (
                 "counter.error.by-nodes",
@@ -384,7 +383,7 @@
                 "s",
                 notes_age,
                 None,
-                "since the other nodes were heard, or the counter; median at requests",
+                "since the other nodes were heard, or the counter; mean over requests",
             ),
             (
                 "notes.error.by-nodes",
