Lab scale: tests; a point's process is ended also before it has a session of its own

The tests showed a point that was given up at once waited for as long as its own child ran: the process had not yet begun its session, so nothing of it was found. It is ended by its id first now.

--- a/merlintally/lab/scale/runner.py
+++ b/merlintally/lab/scale/runner.py
@@ -71,8 +71,9 @@
     try:
         found = _await_result(receiver, process.pid or 0, time.monotonic() + most_s)
     finally:
-        _end(process.pid or 0)
+        process.kill()  # it may not have begun a session of its own yet
         process.join()
+        _end(process.pid or 0)
     if isinstance(found, str):
         raise PointFailed(found)
     return found
@@ -95,7 +96,7 @@
 
 
 def _end(session: int) -> None:
-    """End the processes of a point that are left, each by its id."""
+    """End what a point's process has started and left, each by its id."""
     for folder in Path("/proc").glob("[0-9]*"):
         try:
             fields = (folder / "stat").read_text().rpartition(")")[2].split()
