--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -20,7 +20,7 @@
 from merlintally.cli.front import front
 from merlintally.forms import Faults
 from merlintally.lab.scale import (
-    runner,
+    point,
     slopes_connections,
     slopes_decision,
     slopes_lists,
@@ -29,8 +29,9 @@
 )
 from merlintally.lab.scale.capacity import CHECKOUT_FILE, Capacity, read_capacity
 from merlintally.lab.scale.fit import best_fit, value_at
+from merlintally.lab.scale.point import PointFailed, measure_point
 from merlintally.lab.scale.receiver import most_links
-from merlintally.lab.scale.runner import Failure, PointFailed, measure_point, run
+from merlintally.lab.scale.runner import Failure, run
 from merlintally.lab.scale.slope import Context, Costs, Derived, Point, Row, Slope, in_order, registry
 from merlintally.lab.scale.workload import deployment, tenants_of
 
@@ -163,7 +164,7 @@
     broken = replace(TINY_SLOPE, budget="added_latency_p99_ms")
     row = rows_of(broken, quick=False)["tiny"]
     assert isinstance(row, Row)
-    assert [point.size for point in row.points] == [1, 2, 4, 8]
+    assert [one.size for one in row.points] == [1, 2, 4, 8]
     assert (row.fit.form, row.fit.extrapolated) == ("linear", True)
     assert row.at_size == pytest.approx(335)
     assert (row.budget, row.holds) == (1.1, False)
@@ -193,7 +194,7 @@
     first, second = rows["first"], rows["other"]
     assert isinstance(first, Row) and isinstance(second, Row)
     assert first.points == second.points
-    assert len({point.value for point in first.points} | {float(os.getpid())}) == 5
+    assert len({one.value for one in first.points} | {float(os.getpid())}) == 5
 
 
 def test_a_slope_that_fails_is_told_and_the_next_one_runs() -> None:
@@ -213,7 +214,7 @@
 def test_a_point_beyond_its_bounds_is_ended(
     monkeypatch: pytest.MonkeyPatch, bound: str, value: float, most_s: float, said: str
 ) -> None:
-    monkeypatch.setattr(runner, bound, value)
+    monkeypatch.setattr(point, bound, value)
     begun = time.monotonic()
     with pytest.raises(PointFailed, match=said):
         measure_point({"endless": endless}, 1, CONTEXT, most_s)
@@ -238,7 +239,7 @@
     (row,) = json.loads(out)
     assert code == 3
     assert set(row) == {"name", "role", "by", "points", "fit", "at_size", "budget", "holds"}
-    assert [point["size"] for point in row["points"]] == [1, 2, 3, 4]
+    assert [one["size"] for one in row["points"]] == [1, 2, 3, 4]
     code, _ = invoke("run", "--quick", "twice")  # goes by the row of the run before
     assert code == 0
     kept = json.loads((tmp_path / "found" / "scale-quick.json").read_text())
@@ -262,6 +263,13 @@
         invoke("report")
 
 
+def test_measuring_loads_no_numpy() -> None:
+    """It would be in the memory and the start of each point's process."""
+    code = "import sys; from merlintally.lab.scale import point, slope; slope.registry()"
+    code += "; sys.exit('numpy' in sys.modules)"
+    assert subprocess.run([sys.executable, "-c", code], cwd=ROOT, check=False).returncode == 0
+
+
 def test_the_registry_is_whole() -> None:
     _, out = invoke("list", "--json")
     tests = registry()
