What grows a subset is decided beside the subsets, not in the network code

Need: waits_for_place decides, and stood in net/dispatcher.py, which is to hold no decision. No change of behaviour.

--- a/merlintally/lab/schedules/subset_room.py
+++ b/merlintally/lab/schedules/subset_room.py
@@ -16,8 +16,8 @@
 
 from merlintally.choice import Gateway, Submission
 from merlintally.interface import LaneFacts, PlanFacts, ServerFacts, StartFacts
-from merlintally.net.dispatcher import waits_for_place
 from merlintally.subsets import USUAL, Entry, Subset, Terms
+from merlintally.subsets.pressure import waits_for_place
 from merlintally.subsets.records import Listing
 
 LANE = LaneFacts("lane", 2.0, 4.0, 1.0, 0.0, "harmless", "all", 3.0)
--- a/merlintally/net/dispatcher.py
+++ b/merlintally/net/dispatcher.py
@@ -8,7 +8,7 @@
 from dataclasses import replace
 from typing import Any
 
-from merlintally.choice import SATURATED, Gateway
+from merlintally.choice import Gateway
 from merlintally.interface import CounterOutcome, Outcome
 from merlintally.net.configuration import Deployment, Listed
 from merlintally.net.counter import Counter
@@ -19,6 +19,7 @@
 from merlintally.net.sockets import Buffer
 from merlintally.net.timers import Clock, Timers
 from merlintally.subsets import Listing, Subset
+from merlintally.subsets.pressure import waits_for_place
 
 ANSWERED: tuple[Outcome, ...] = ("ok", "error", "full")
 UNANSWERED: tuple[Outcome, ...] = ("timed_out", "unreachable", "broken")
@@ -41,16 +42,6 @@
     return Subset(facts.number, facts.gateways, deployment.subsets)
 
 
-def waits_for_place(gateway: Gateway, now: float) -> bool:
-    """Whether work waits though this node's servers answer easily: more of them have more places. Guards
-    against subsets that grow for nothing: where the whole fleet is too slow, and for work that waits only
-    since its customer has as much out as it may."""
-    if gateway.strain >= SATURATED or not any(gateway.lines.values()):
-        return False
-    full = gateway.allowed(now) - gateway.out < 0.5
-    return full or not any(server.has_place(now) for server in gateway.servers.values())
-
-
 class Dispatcher:
     """Turns what comes through the queue into calls on the decisions, and carries out what they want done.
 
