--- a/merlintally/choice.py
+++ b/merlintally/choice.py
@@ -12,16 +12,8 @@
 from collections.abc import Iterable
 from statistics import median
 
-from merlintally.interface import (
-    CounterOutcome,
-    LaneFacts,
-    LoadReport,
-    Outcome,
-    PlanFacts,
-    Results,
-    ServerFacts,
-    StartFacts,
-)
+from merlintally.interface import CounterOutcome, LaneFacts, LoadReport, Outcome
+from merlintally.interface import PlanFacts, Results, ServerFacts, StartFacts
 from merlintally.naming import count_name, phase
 from merlintally.notes import ROW, told, unpack
 from merlintally.ring import Ring, SampleRing
