--- a/merlintally/cluster/node.py
+++ b/merlintally/cluster/node.py
@@ -66,6 +66,8 @@
 class ClusterNode:
     """Attached to an edge node with `EdgeNode(..., parts=[ClusterNode(...).run])`; it is the node's Right."""
 
+    links_type: type[Links] = Links  # another one counts what goes out, in the laboratory
+
     def __init__(
         self, part: ClusterPart, name: str, seed: int, disk: Disk, log: Log, record: Record | None = None
     ) -> None:
@@ -121,7 +123,7 @@
             keeper.peers = self
         keeper.shown = {entry.facts.server: entry for entry in node.deployment.known}
         listen = address(self.part.listen, "cluster.listen")
-        self.links = Links(
+        self.links = self.links_type(
             self.part.name,
             self.part.secret,
             self.name,
