--- a/merlintally/lab/scale/hollow.py
+++ b/merlintally/lab/scale/hollow.py
@@ -23,6 +23,8 @@
 from typing import Any, cast
 
 import anyio
+import anyio.abc
+import msgspec
 from msgspec import Struct
 
 from merlintally.cluster.disk import Disk
@@ -33,9 +35,10 @@
 from merlintally.net.keeper import Keeper
 from merlintally.net.log import Log
 from merlintally.net.node import EdgeNode
-from merlintally.net.phases import Phases
+from merlintally.net.phases import Phase, Phases
 from merlintally.operators import ClusterPart
 
+LEAVE_S = 0.5  # from a node's goodbye to its end
 PORT = 7600  # of every hollow node: each has a loopback address of its own
 
 
@@ -48,7 +51,7 @@
     folder: str
     secret: str
     copies: int = 0  # holders of each shard; 0: no state is copied
-    exchange_s: float | None = None  # between full exchanges of members; None: as in a real node
+    exchange_s: float | None = None  # between full exchanges of members at first; None: as in a real node
 
     def address_of(self, name: str) -> str:
         return self.addresses[self.names.index(name)]
@@ -135,9 +138,15 @@
         super().__init__(part, name, seed, Disk(folder), Log(name, 0.0, io.StringIO()))
         self.edge, self.hollow_keeper = HollowEdge(known), HollowKeeper()
         self.applied: dict[int, float] = {}
+        self.control_sent_before = Sent()  # by former starts
         if spec.exchange_s is not None:
-            members = self.core.members
-            members.rhythm = members.rhythm._replace(exchange_s=spec.exchange_s)
+            self.exchange(spec.exchange_s)
+
+    def exchange(self, seconds: float) -> None:
+        """From now on, have so long between full exchanges of members."""
+        members = self.core.members
+        members.rhythm = members.rhythm._replace(exchange_s=seconds)
+        members.exchange_at = time.monotonic() + seconds * members.random.random()
 
     async def serve(self) -> None:
         """Stand until cancelled."""
@@ -152,10 +161,15 @@
             self.applied[fields["index"]] = time.monotonic()
         super()._tell(event, fields)
 
+    @property
+    def control_sent(self) -> Sent:
+        """What it has sent, in all its starts."""
+        return self.control_sent_before.plus(cast(MeteredLinks, self.links).sent)
+
     def use(self) -> HollowUse:
-        core, links = self.core, cast(MeteredLinks, self.links)
+        core, links = self.core, self.links
         return HollowUse(
-            links.sent,
+            self.control_sent,
             core.leads,
             core.edge.caught_up,
             core.work.index,
@@ -173,20 +187,57 @@
 
 
 class HollowCrowd:
-    """Hollow nodes of one process."""
+    """Hollow nodes of one process, each of which can be restarted or killed."""
 
     def __init__(self, spec: HollowSpec, names: Sequence[str], seed: int) -> None:
-        self.nodes = {name: HollowNode(spec, name, seed * 100_003 + at) for at, name in enumerate(names)}
+        self.spec, self.seed = spec, seed * 100_003
+        self.nodes = {name: self._node(name) for name in names}
+        self.scopes: dict[str, anyio.CancelScope] = {}
+        self.ended: dict[str, anyio.Event] = {}
+        self.group: anyio.abc.TaskGroup
+
+    def _node(self, name: str) -> HollowNode:
+        self.seed += 1
+        return HollowNode(self.spec, name, self.seed)
 
     async def run(self) -> None:
         """Stand until cancelled."""
-        async with anyio.create_task_group() as group:
-            for node in self.nodes.values():
-                group.start_soon(node.serve)
+        async with anyio.create_task_group() as self.group:
+            for name in self.nodes:
+                self.group.start_soon(self._stand, name)
+            await anyio.sleep_forever()
+
+    async def _stand(self, name: str) -> None:
+        self.ended[name] = anyio.Event()
+        with anyio.CancelScope() as self.scopes[name]:
+            await self.nodes[name].serve()
+        self.ended[name].set()
+
+    async def kill(self, name: str) -> None:
+        """End a node at once, as SIGKILL would."""
+        self.scopes[name].cancel()
+        await self.ended[name].wait()
+
+    async def restart(self, name: str) -> None:
+        """Have a node say that it goes, end it, and start it anew with its folder. What it has sent before
+        counts on."""
+        before = self.nodes[name]
+        before.edge.phases.enter(Phase.LEAVING)
+        await anyio.sleep(LEAVE_S)
+        await self.kill(name)
+        after = self.nodes[name] = self._node(name)
+        after.control_sent_before = before.control_sent
+        self.group.start_soon(self._stand, name)
 
     def uses(self) -> dict[str, HollowUse]:
         return {name: node.use() for name, node in self.nodes.items()}
 
+    def steady(self) -> None:
+        """All nodes have the rhythm of a real node from now on, also those that are restarted."""
+        self.spec = msgspec.structs.replace(self.spec, exchange_s=None)
+        for node in self.nodes.values():
+            node.exchange(node.plan.rhythm.exchange_s)
+
     async def changes(self, count: int, payload: str, id_: str) -> list[int]:
         """Have the leader, which has to be one of these nodes, agree on `count` entries at once, each with a
         payload; gives their indices. They are void (they name a request that does not exist), and go to all
--- a/merlintally/lab/scale/hollow_cluster.py
+++ b/merlintally/lab/scale/hollow_cluster.py
@@ -32,15 +32,18 @@
     Change,
     Changed,
     Command,
+    Done,
     Mark,
     Marked,
+    Restart,
+    Steady,
 )
 from merlintally.lab.scale.meter import Count, total
 
 ROOT = Path(__file__).resolve().parents[3]
 END_S, LOOK_S, PATIENCE_S = 5.0, 0.25, 120.0
 MOST_NODES = 140  # in one process
-Expected = TypeVar("Expected", Marked, Changed, Applied)
+Expected = TypeVar("Expected", Marked, Changed, Applied, Done)
 
 
 class HollowFailed(Exception):
@@ -179,6 +182,12 @@
                 return used / self.seconds / len(after.nodes)
         raise KeyError(name)
 
+    def resident(self, name: str) -> float:
+        """Bytes that a node takes: those of its process beyond what it had without nodes, by the nodes in
+        it."""
+        mark = next(one for one in self.after.marks if name in one.nodes)
+        return (mark.process.resident - mark.base.resident) / len(mark.nodes)
+
 
 class HollowCluster:
     """`size` hollow nodes, the first `voters` of them voting; a context that ends all it has started."""
@@ -257,12 +266,27 @@
             f"{sum(one.caught_up for one in uses)} of {len(uses)} caught up, one knows {known} members alone"
         )
 
+    def steady(self) -> None:
+        """Full exchanges of members are as in a real node from now on."""
+        for child in self.children:
+            child.tell(Steady())
+        for child in self.children:
+            child.answer(Done)
+
     def stretch(self, seconds: float) -> Stretch:
         """What is used at rest over so long a time."""
         before = self.mark()
         time.sleep(seconds)
         return Stretch(before, self.mark())
 
+    def restart(self, names: Sequence[str]) -> None:
+        """Restart nodes, all at once."""
+        told = [(child, tuple(name for name in names if name in child.names)) for child in self.children]
+        for child, its in told:
+            child.tell(Restart(its))
+        for child, _ in told:
+            child.answer(Done)
+
     def change(self, count: int, payload: str) -> float:
         """Seconds until the last node has applied the last of `count` entries that begin at once."""
         leader = self.mark().leader
@@ -276,11 +300,9 @@
         return max(one.answer(Applied).at for one in self.children) - changed.began
 
 
-def follower_mean(stretch: Stretch, names: Sequence[str]) -> Traffic:
+def mean_traffic(stretch: Stretch, names: Sequence[str]) -> Traffic:
     """The mean of these nodes."""
     traffic = stretch.traffic()
-    sent, received = (
-        total(traffic[name].sent for name in names),
-        total(traffic[name].received for name in names),
-    )
+    sent = total(traffic[name].sent for name in names)
+    received = total(traffic[name].received for name in names)
     return Traffic(sent, received, stretch.seconds * len(names))
--- a/merlintally/lab/scale/hollow_process.py
+++ b/merlintally/lab/scale/hollow_process.py
@@ -45,8 +45,29 @@
     index: int
 
 
+class Steady(Struct, frozen=True, tag=True):
+    """Full exchanges of members are as in a real node from now on."""
+
+
+class Restart(Struct, frozen=True, tag=True):
+    """Restart nodes of this process, all at once."""
+
+    names: tuple[str, ...]
+
+
+class Kill(Struct, frozen=True, tag=True):
+    """End nodes of this process, with no word to the others."""
+
+    names: tuple[str, ...]
+
+
+class Done(Struct, frozen=True, tag=True):
+    at: float
+
+
 class Marked(Struct, frozen=True, tag=True):
     at: float  # CLOCK_MONOTONIC seconds
+    base: ProcessUse  # before the first node was made
     process: ProcessUse
     nodes: dict[str, HollowUse]
 
@@ -60,13 +81,13 @@
     at: float  # when the last node had
 
 
-Command = Begin | Mark | Change | Await
-Answer = Marked | Changed | Applied
+Command = Begin | Mark | Change | Await | Restart | Kill | Steady
+Answer = Marked | Changed | Applied | Done
 COMMANDS = msgspec.json.Decoder(Command)
 ANSWERS = msgspec.json.Decoder(Answer)
 
 
-async def answer_of(crowd: HollowCrowd, command: Command) -> Answer:
+async def answer_of(crowd: HollowCrowd, base: ProcessUse, command: Command) -> Answer:
     match command:
         case Change(count, payload, id_):
             began = time.monotonic()
@@ -74,19 +95,29 @@
             return Changed(began, indices[-1])
         case Await(index):
             return Applied(await crowd.until_applied(index))
+        case Steady():
+            crowd.steady()
+            return Done(time.monotonic())
+        case Restart(names) | Kill(names):
+            act = crowd.restart if isinstance(command, Restart) else crowd.kill
+            async with anyio.create_task_group() as group:
+                for name in names:
+                    group.start_soon(act, name)
+            return Done(time.monotonic())
         case _:
             gc.collect()
-            return Marked(time.monotonic(), process_use(), crowd.uses())
+            return Marked(time.monotonic(), base, process_use(), crowd.uses())
 
 
 async def serve(inward: TextIO, outward: TextIO) -> None:
     first = COMMANDS.decode(inward.readline())
     assert isinstance(first, Begin), "the first command begins"
+    base = process_use()
     crowd = HollowCrowd(first.spec, first.names, first.seed)
     async with anyio.create_task_group() as group:
         group.start_soon(crowd.run)
         while line := await anyio.to_thread.run_sync(inward.readline, abandon_on_cancel=True):
-            answer = await answer_of(crowd, COMMANDS.decode(line))
+            answer = await answer_of(crowd, base, COMMANDS.decode(line))
             outward.write(msgspec.json.encode(answer).decode() + "\n")
             outward.flush()
         group.cancel_scope.cancel()
--- a/merlintally/lab/scale/meter.py
+++ b/merlintally/lab/scale/meter.py
@@ -48,6 +48,13 @@
     return found
 
 
+def added(some: dict[str, Count], others: dict[str, Count]) -> dict[str, Count]:
+    """Sums by name."""
+    return {
+        name: some.get(name, Count()).plus(others.get(name, Count())) for name in some.keys() | others.keys()
+    }
+
+
 class Sent(Struct):
     """What one node has sent since its start."""
 
@@ -58,6 +65,9 @@
         self.calls.setdefault(call, Count()).add(size)
         self.receivers.setdefault(to, Count()).add(size)
 
+    def plus(self, other: Sent) -> Sent:
+        return Sent(added(self.calls, other.calls), added(self.receivers, other.receivers))
+
     @property
     def all(self) -> Count:
         return total(self.calls.values())
