--- a/merlintally/lab/scale/slope.py
+++ b/merlintally/lab/scale/slope.py
@@ -4,7 +4,7 @@
 
 import importlib
 import pkgutil
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 
 from msgspec import Struct
@@ -12,6 +12,7 @@
 from merlintally.lab.scale.capacity import Capacity
 
 PREFIX = "slopes_"  # of the modules of this package that have SLOPES, a tuple of Slope and Derived
+SizeOf = Callable[[Capacity], int]
 BudgetOf = Callable[[Capacity], float | None]
 
 
@@ -78,14 +79,14 @@
     sizes: tuple[int, ...]
     quick_sizes: tuple[int, ...]
     measure: Measure
-    size_key: str  # the key of [size] that the cost is taken to
+    size_key: str | SizeOf  # the key of [size] that the cost is taken to, or a function
     budget: str | BudgetOf | None = None  # a key of [budget], a function, or no budget
     about: str = ""  # one line: what is measured, and what of it is simulated
     group: str = ""
     simulated: bool = False  # counted in simulated time, not measured on this machine
 
     def operators_size(self, capacity: Capacity) -> int:
-        return int(getattr(capacity.size, self.size_key))
+        return size_of(self.size_key, capacity)
 
     def budget_of(self, capacity: Capacity) -> float | None:
         return budget_of(self.budget, capacity)
@@ -120,17 +121,21 @@
     sizes: tuple[int, ...]
     sources: tuple[str, ...]
     work_out: Callable[[int, Costs], float]
-    size_key: str
+    size_key: str | SizeOf
     budget: str | BudgetOf | None = None
     about: str = ""
 
     def operators_size(self, capacity: Capacity) -> int:
-        return int(getattr(capacity.size, self.size_key))
+        return size_of(self.size_key, capacity)
 
     def budget_of(self, capacity: Capacity) -> float | None:
         return budget_of(self.budget, capacity)
 
 
+def size_of(key: str | SizeOf, capacity: Capacity) -> int:
+    return int(getattr(capacity.size, key)) if isinstance(key, str) else key(capacity)
+
+
 def budget_of(budget: str | BudgetOf | None, capacity: Capacity) -> float | None:
     if isinstance(budget, str):
         return float(getattr(capacity.budget, budget))
@@ -138,9 +143,23 @@
 
 
 def registry() -> list[Slope | Derived]:
-    """All scale tests, gathered from this package's modules `slopes_*`; derived ones come last."""
+    """All scale tests, gathered from this package's modules `slopes_*`: derived ones come last, each behind
+    the ones that it is worked out from."""
     package = importlib.import_module(__package__ or "merlintally.lab.scale")
     names = sorted(one.name for one in pkgutil.iter_modules(package.__path__) if one.name.startswith(PREFIX))
     modules = [importlib.import_module(f"{package.__name__}.{name}") for name in names]
-    found: list[Slope | Derived] = [one for module in modules for one in module.SLOPES]
-    return sorted(found, key=lambda one: isinstance(one, Derived))
+    return in_order([one for module in modules for one in module.SLOPES])
+
+
+def in_order(tests: Sequence[Slope | Derived]) -> list[Slope | Derived]:
+    """The measured ones, then the derived ones behind their sources."""
+    found: list[Slope | Derived] = [one for one in tests if isinstance(one, Slope)]
+    left = [one for one in tests if isinstance(one, Derived)]
+    while left:
+        waiting = {one.name for one in left}
+        ready = [one for one in left if waiting.isdisjoint(one.sources)]
+        if not ready:
+            raise ValueError(f"worked out from each other: {', '.join(sorted(waiting))}")
+        found += ready
+        left = [one for one in left if one not in ready]
+    return found
