--- a/merlintally/lab/scale/control_schedule.py
+++ b/merlintally/lab/scale/control_schedule.py
@@ -89,8 +89,8 @@
 
 
 class MeteredWorld(World):
-    """Encodes each message on its way out; who sends a datagram that nobody gets has sent it all the same, and
-    a stream that is cut or refused takes nothing."""
+    """Encodes each message on its way out. Who sends a datagram that nobody gets has sent it all the same; a
+    stream that is cut or refused takes nothing."""
 
     rig: ControlRig
 
@@ -151,6 +151,15 @@
         return 0 if node.zone <= self.zones // REGIONS else 1
 
 
+@dataclass(frozen=True)
+class Rates:
+    """Of one node, a second: bytes and messages sent and received, share of a core."""
+
+    bytes: float
+    messages: float
+    core_share: float
+
+
 class Use:
     """What nodes have used by a moment."""
 
@@ -161,21 +170,16 @@
             for name, node in rig.metered.items()
         }
 
+    def of(self, names: Sequence[str]) -> tuple[float, float, float]:
+        bytes_, messages, core_s = zip(*(self.by_node[name] for name in names), strict=True)
+        return sum(bytes_), sum(messages), sum(core_s)
 
-@dataclass(frozen=True)
-class Rates:
-    """Of one node, a second: bytes sent and received, share of a core."""
 
-    bytes: float
-    core_share: float
-
-
-def rates(before: Use, after: Use, names: Iterable[str]) -> Rates:
+def rates(before: Use, after: Use, names: Sequence[str]) -> Rates:
     """The mean of these nodes."""
-    listed, seconds = list(names), after.at - before.at
-    spent = sum(after.by_node[name][0] - before.by_node[name][0] for name in listed)
-    core_s = sum(after.by_node[name][2] - before.by_node[name][2] for name in listed)
-    return Rates(spent / seconds / len(listed), core_s / seconds / len(listed))
+    node_seconds = (after.at - before.at) * len(names)
+    spent = zip(after.of(names), before.of(names), strict=True)
+    return Rates(*((late - early) / node_seconds for late, early in spent))
 
 
 class NotKnown(Exception):
@@ -194,7 +198,11 @@
 def worst(before: Sequence[Use], after: Sequence[Use], names: Sequence[str]) -> Rates:
     """The worst of several stretches, in bytes and in processor time."""
     found = [rates(one, other, names) for one, other in zip(before, after, strict=True)]
-    return Rates(max(one.bytes for one in found), max(one.core_share for one in found))
+    return Rates(
+        max(one.bytes for one in found),
+        max(one.messages for one in found),
+        max(one.core_share for one in found),
+    )
 
 
 def worst_minute(rig: ControlRig, true: Callable[[], bool], length_s: float) -> Minute:
@@ -260,7 +268,7 @@
     regions: list[list[str]] = [[], []]
     for node in rig.metered.values():
         regions[rig.region(node)].append(node.name)
-    rig.world.part(*regions)
+    rig.world.part(regions[0], regions[1])
     others = {name: regions[1 - at] for at, names in enumerate(regions) for name in names}
     apart = worst_minute(
         rig, lambda: all(_dead(node, others[node.name]) for node in rig.running_nodes()), parted_s
--- a/merlintally/lab/scale/hollow_cluster.py
+++ b/merlintally/lab/scale/hollow_cluster.py
@@ -1,6 +1,7 @@
 """A cluster of hollow nodes in a few processes, and what it uses over a stretch of time.
 
-Each voter has a process of its own, so that a leader's processor time is its own; all others share processes.
+Each voter has a process of its own, and so has one node that does not vote: what a process spends on its
+event loop is then a node's own, as in a real one. All others share processes.
 """
 
 from __future__ import annotations
@@ -8,6 +9,7 @@
 import os
 import secrets
 import shutil
+import socket
 import subprocess
 import sys
 import tempfile
@@ -43,6 +45,7 @@
 ROOT = Path(__file__).resolve().parents[3]
 END_S, LOOK_S, PATIENCE_S = 5.0, 0.25, 120.0
 MOST_NODES = 140  # in one process
+NETWORKS = range(100, 254)  # of as many digits, so that addresses are as long
 Expected = TypeVar("Expected", Marked, Changed, Applied, Done)
 
 
@@ -50,10 +53,25 @@
     """The cluster could not be measured; the text says why."""
 
 
-def loopback_addresses(count: int) -> list[str]:
-    """An address of its own for each node, 127.x.y.z, in a network that another run seldom has."""
-    network = 64 + SystemRandom().randrange(190)
-    return [f"127.{network}.{1 + at // 200}.{1 + at % 200}:{PORT}" for at in range(count)]
+class Network:
+    """A network of loopback, 127.x.0.0, that no other cluster on this machine uses meanwhile."""
+
+    def __init__(self) -> None:
+        self.claim = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        for number in SystemRandom().sample(NETWORKS, len(NETWORKS)):
+            with suppress(OSError):
+                self.claim.bind((f"127.{number}.0.1", PORT))
+                self.number = number
+                return
+        self.claim.close()
+        raise HollowFailed("every network of loopback is in use")
+
+    def addresses(self, count: int) -> tuple[str, ...]:
+        """One of its own for each node."""
+        return tuple(f"127.{self.number}.{1 + at // 200}.{1 + at % 200}:{PORT}" for at in range(count))
+
+    def close(self) -> None:
+        self.claim.close()
 
 
 class Child:
@@ -201,11 +219,11 @@
         copies: int = 0,
         exchange_s: float | None = None,
     ) -> None:
-        self.folder = Path(tempfile.mkdtemp(prefix="hollow-"))
+        self.network, self.folder = Network(), Path(tempfile.mkdtemp(prefix="hollow-"))
         names = tuple(f"edge-{at:04d}" for at in range(size))
         self.spec = HollowSpec(
             names,
-            tuple(loopback_addresses(size)),
+            self.network.addresses(size),
             voters,
             str(self.folder),
             secrets.token_hex(16),
@@ -213,8 +231,8 @@
             exchange_s,
         )
         self.children: list[Child] = []
-        others = names[voters:]
-        self.groups = [[name] for name in names[:voters]]
+        others = names[voters + 1 :]
+        self.groups = [[name] for name in names[: voters + 1]]
         count = -(-len(others) // per_process)
         self.groups += [list(others[at::count]) for at in range(count)]
         self.seed = seed
@@ -224,6 +242,11 @@
         """Nodes that do not vote."""
         return self.spec.names[self.spec.voters :]
 
+    @property
+    def alone(self) -> str:
+        """The node that does not vote and has a process of its own."""
+        return self.spec.names[self.spec.voters]
+
     def __enter__(self) -> HollowCluster:
         try:
             for at, group in enumerate(self.groups):
@@ -243,6 +266,7 @@
     def end(self) -> None:
         for child in self.children:
             child.end()
+        self.network.close()
         shutil.rmtree(self.folder, ignore_errors=True)
 
     def mark(self) -> Moment:
--- a/merlintally/lab/scale/hollow_measure.py
+++ b/merlintally/lab/scale/hollow_measure.py
@@ -19,7 +19,7 @@
 from merlintally.lab.scale.slope import Context
 
 PAYLOAD = "x" * 1000  # of one change
-RESTARTED = 7
+RESTARTED = 7  # at once, or half of a small cluster's
 EXCHANGE = "m.state"  # drawn by chance and large: left out where little is told from much
 MB = 1e6
 SETTLING = 80.0  # full exchanges a second of all nodes together, until they know each other
@@ -61,12 +61,13 @@
     restart_bytes: float  # that every other node sends and receives for each restart
 
 
-def node_cost(stretch: Stretch, names: Sequence[str]) -> NodeCost:
+def node_cost(stretch: Stretch, names: Sequence[str], alone: str) -> NodeCost:
+    """Traffic and memory of these nodes, processor time of the one that has a process of its own."""
     traffic = mean_traffic(stretch, names)
     return NodeCost(
         traffic.bytes,
         traffic.messages,
-        mean(stretch.core_share(name) for name in names),
+        stretch.core_share(alone),
         mean(stretch.resident(name) for name in names) / MB,
     )
 
@@ -84,18 +85,19 @@
         time.sleep(times.change)
         changed = Stretch(twenty, cluster.mark())
         names = cluster.followers
-        restarted, stayed = names[-RESTARTED:], names[:-RESTARTED]
+        count = min(RESTARTED, len(names) // 2)
+        restarted, stayed = names[-count:], names[:-count]
         before = cluster.mark()
         cluster.restart(restarted)
         time.sleep(times.restart)
         restarts = Stretch(before, cluster.mark())
         return ControlCost(
-            node_cost(rest, names),
-            node_cost(rest, [rest.leader]),
+            node_cost(rest, names, cluster.alone),
+            node_cost(rest, [rest.leader], rest.leader),
             one_s,
             twenty_s,
             beyond_rest(changed, rest, names) / changes,
-            beyond_rest(restarts, rest, stayed) / RESTARTED,
+            beyond_rest(restarts, rest, stayed) / count,
         )
 
 
@@ -128,7 +130,7 @@
 
 
 def aged_cost(size: int, seed: int) -> AgedCost:
-    """Exchanges follow each other more quickly than in a real node, so that it takes seconds and not hours."""
+    """Exchanges follow each other more quickly than in a real node, so that it takes seconds, not hours."""
     with HollowCluster(size, seed=seed, exchange_s=size / 800) as cluster:
         cluster.until_settled()
         ends = time.monotonic() + AGED_S
--- a/merlintally/lab/scale/slopes_cluster.py
+++ b/merlintally/lab/scale/slopes_cluster.py
@@ -7,18 +7,32 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-from functools import cache
+from collections.abc import Callable, Sequence
+from functools import cache, partial
+from statistics import mean
 
 from merlintally.lab.scale.capacity import Capacity
-from merlintally.lab.scale.control_schedule import Minute, Parted, lose_zone, part_regions, rest
-from merlintally.lab.scale.hollow_measure import AgedCost, ControlCost, aged, measured
+from merlintally.lab.scale.control_schedule import (
+    Minute,
+    Parted,
+    Rates,
+    lose_zone,
+    part_regions,
+    rest,
+)
+from merlintally.lab.scale.hollow_measure import aged, measured
 from merlintally.lab.scale.slope import BudgetOf, Context, Costs, Derived, Slope
 
 NODE, VOTER = "edge node", "voter"
-HOLLOW_SIZES, HOLLOW_QUICK = (50, 100, 200, 400, 670), (8, 16, 24, 40)
-AGED_SIZES, AGED_QUICK = (10, 20, 40, 80), (6, 8, 12, 16)
-PLAYED_SIZES, PLAYED_QUICK = (35, 70, 140, 280), (14, 21, 28, 42)
+BYTES, CORE = "control_bytes_per_s", "control_core_share"
+SHARE = "share of a core"
+OPERATORS_NODES = (
+    670  # as deploy/capacity.toml has it: measured, where that can be done, and not extrapolated
+)
+HOLLOW_SIZES, HOLLOW_QUICK = (50, 100, 200, 400, OPERATORS_NODES), (10, 20, 40, 80)
+AGED_SIZES, AGED_QUICK = (10, 20, 40, 80), (8, 12, 16, 24)
+PLAYED_SIZES, PLAYED_QUICK = (35, 70, 140, 280), (14, 28, 42, 56)
+MOST_SEEDS, MOST_PLAYED = 4, 140  # seeds of one size, and nodes of all of them together
 COPIES = 3
 DAY_S = 86400.0
 SOCKETS = 1024  # descriptors that a process has by default on most systems
@@ -92,53 +106,63 @@
 
 
 COSTS: dict[str, Callable[[int, Context], float]] = {
-    "control-rest-bytes": rest_bytes,
-    "control-rest-messages": rest_messages,
-    "control-rest-core": rest_core,
-    "control-rest-memory": rest_memory,
-    "control-leader-bytes": leader_bytes,
-    "control-leader-messages": leader_messages,
-    "control-leader-core": leader_core,
-    "control-leader-memory": leader_memory,
-    "change-one-time": change_one,
-    "change-twenty-time": change_twenty,
-    "change-bytes": change_bytes,
-    "restart-bytes": restart_bytes,
+    "cluster.rest.bytes-per-s": rest_bytes,
+    "cluster.rest.messages-per-s": rest_messages,
+    "cluster.rest.core": rest_core,
+    "cluster.rest.memory": rest_memory,
+    "cluster.leader.bytes-per-s": leader_bytes,
+    "cluster.leader.messages-per-s": leader_messages,
+    "cluster.leader.core": leader_core,
+    "cluster.leader.memory": leader_memory,
+    "cluster.change.one.time": change_one,
+    "cluster.change.at-once.time": change_twenty,
+    "cluster.change.bytes": change_bytes,
+    "cluster.restart.bytes": restart_bytes,
 }
 
 HOLLOW = (
-    of_cost("control-rest-bytes", "bytes/s", "at rest, a node that does not vote", NODE, "control_bytes_per_s"),
-    of_cost("control-rest-messages", "messages/s", "at rest, a node that does not vote"),
     of_cost(
-        "control-rest-core", "share of a core", "at rest, a node that does not vote", NODE, "control_core_share"
+        "cluster.rest.bytes-per-s",
+        "bytes/s",
+        "at rest, a node that does not vote",
+        NODE,
+        "control_bytes_per_s",
+    ),
+    of_cost("cluster.rest.messages-per-s", "messages/s", "at rest, a node that does not vote"),
+    of_cost(
+        "cluster.rest.core",
+        "share of a core",
+        "at rest, a node that does not vote",
+        NODE,
+        "control_core_share",
     ),
     of_cost(
-        "control-rest-memory",
+        "cluster.rest.memory",
         "MB",
         "at rest, beyond the process without a cluster, few streams open",
         NODE,
         "control_memory_mb",
     ),
-    of_cost("control-leader-bytes", "bytes/s", "at rest, the leader", VOTER, "control_bytes_per_s"),
-    of_cost("control-leader-messages", "messages/s", "at rest, the leader", VOTER),
-    of_cost("control-leader-core", "share of a core", "at rest, the leader", VOTER, "control_core_share"),
-    of_cost("control-leader-memory", "MB", "at rest, the leader", VOTER, "control_memory_mb"),
+    of_cost("cluster.leader.bytes-per-s", "bytes/s", "at rest, the leader", VOTER, BYTES),
+    of_cost("cluster.leader.messages-per-s", "messages/s", "at rest, the leader", VOTER),
+    of_cost("cluster.leader.core", "share of a core", "at rest, the leader", VOTER, CORE),
+    of_cost("cluster.leader.memory", "MB", "at rest, the leader", VOTER, "control_memory_mb"),
     of_cost(
-        "change-one-time",
+        "cluster.change.one.time",
         "s",
         "an entry of 1,000 bytes in the log, until the last node has applied it",
         NODE,
         "change_everywhere_s",
     ),
     of_cost(
-        "change-twenty-time",
+        "cluster.change.at-once.time",
         "s",
         "changes_at_once entries of 1,000 bytes, until the last node has applied the last",
         NODE,
         "change_everywhere_s",
     ),
-    of_cost("change-bytes", "bytes", "for each of the entries at once, a node that does not vote"),
-    of_cost("restart-bytes", "bytes", "for the restart of another node, without full exchanges"),
+    of_cost("cluster.change.bytes", "bytes", "for each of the entries at once, a node that does not vote"),
+    of_cost("cluster.restart.bytes", "bytes", "for the restart of another node, without full exchanges"),
 )
 
 # With a stream each way between any two.
@@ -180,14 +204,14 @@
 
 AGED = (
     of_age(
-        "control-streams",
+        "cluster.streams.descriptors",
         "descriptors",
         aged_streams,
         "open once a node has exchanged with every other, against the 1,024 that a process has by default",
         sockets,
     ),
     of_age(
-        "control-aged-memory",
+        "cluster.streams.memory",
         "MB",
         aged_memory,
         "beyond the process without a cluster, all streams open; hollow nodes on loopback",
@@ -195,52 +219,58 @@
     ),
 )
 
-# Simulated time.
+# Simulated time. At small sizes the mean of a few seeds.
+
+
+def mean_minute(minutes: Sequence[Minute]) -> Minute:
+    return Minute(
+        mean_rates([one.node for one in minutes]),
+        mean_rates([one.leader for one in minutes]),
+        mean(one.known_s for one in minutes),
+    )
+
+
+def mean_rates(found: Sequence[Rates]) -> Rates:
+    return Rates(
+        mean(one.bytes for one in found),
+        mean(one.messages for one in found),
+        mean(one.core_share for one in found),
+    )
+
+
+def seeds(size: int, context: Context) -> range:
+    count = 1 if context.quick else max(1, min(MOST_SEEDS, MOST_PLAYED // size))
+    return range(context.seed, context.seed + count)
 
 
 @cache
 def at_rest(size: int, context: Context) -> Minute:
-    return rest(size, context.seed)
+    return mean_minute([rest(size, seed) for seed in seeds(size, context)])
 
 
 @cache
 def at_rest_with_copies(size: int, context: Context) -> Minute:
-    return rest(size, context.seed, COPIES)
+    return mean_minute([rest(size, seed, COPIES) for seed in seeds(size, context)])
 
 
 @cache
 def zone_lost(size: int, context: Context) -> Minute:
-    return lose_zone(size, context.seed, zones=context.capacity.size.zones)
+    zones = context.capacity.size.zones
+    return mean_minute([lose_zone(size, seed, zones=zones) for seed in seeds(size, context)])
 
 
 @cache
 def parted(size: int, context: Context) -> Parted:
-    return part_regions(size, context.seed)
+    found = [part_regions(size, seed) for seed in seeds(size, context)]
+    return Parted(mean_minute([one.apart for one in found]), mean_minute([one.joined for one in found]))
 
 
-def played(
-    name: str,
-    unit: str,
-    measure: Callable[[int, Context], float],
-    about: str,
-    role: str = NODE,
-    budget: str | None = None,
-    group: str = "",
-) -> Slope:
-    return Slope(
-        name=name,
-        role=role,
-        by="nodes",
-        unit=unit,
-        sizes=PLAYED_SIZES,
-        quick_sizes=PLAYED_QUICK,
-        measure=measure,
-        size_key="edge_nodes",
-        budget=budget,
-        about=f"{about}; simulated time, core and codec without sockets",
-        group=group,
-        simulated=True,
-    )
+def apart(size: int, context: Context) -> Minute:
+    return parted(size, context).apart
+
+
+def joined(size: int, context: Context) -> Minute:
+    return parted(size, context).joined
 
 
 def copies_bytes(size: int, context: Context) -> float:
@@ -251,61 +281,105 @@
     return at_rest_with_copies(size, context).node.core_share - at_rest(size, context).node.core_share
 
 
-def zone_lost_bytes(size: int, context: Context) -> float:
-    return zone_lost(size, context).node.bytes
-
-
-def zone_lost_core(size: int, context: Context) -> float:
-    return zone_lost(size, context).node.core_share
-
-
-def zone_lost_leader_core(size: int, context: Context) -> float:
-    return zone_lost(size, context).leader.core_share
-
-
-def zone_lost_known(size: int, context: Context) -> float:
-    return zone_lost(size, context).known_s
+Situation = Callable[[int, Context], Minute]
+SITUATIONS: dict[str, tuple[Situation, str, str, tuple[int, ...]]] = {
+    "played-rest": (at_rest, "at rest", "copies", PLAYED_SIZES),
+    "zone-lost": (
+        zone_lost,
+        "the worst minute after a zone is lost",
+        "zone",
+        (*PLAYED_SIZES, OPERATORS_NODES),
+    ),
+    "parted": (apart, "the worst minute after two regions have lost each other", "parted", PLAYED_SIZES),
+    "joined": (joined, "the worst minute after they have joined again", "parted", PLAYED_SIZES),
+}
 
 
-def parted_bytes(size: int, context: Context) -> float:
-    return parted(size, context).apart.node.bytes
+def minute_bytes(situation: str, size: int, context: Context) -> float:
+    return SITUATIONS[situation][0](size, context).node.bytes
 
 
-def parted_core(size: int, context: Context) -> float:
-    return parted(size, context).apart.node.core_share
+def minute_messages(situation: str, size: int, context: Context) -> float:
+    return SITUATIONS[situation][0](size, context).node.messages
 
 
-def parted_known(size: int, context: Context) -> float:
-    return parted(size, context).apart.known_s
+def minute_core(situation: str, size: int, context: Context) -> float:
+    return SITUATIONS[situation][0](size, context).node.core_share
 
 
-def joined_bytes(size: int, context: Context) -> float:
-    return parted(size, context).joined.node.bytes
+def minute_known(situation: str, size: int, context: Context) -> float:
+    return SITUATIONS[situation][0](size, context).known_s
 
 
-def joined_core(size: int, context: Context) -> float:
-    return parted(size, context).joined.node.core_share
+def played(
+    name: str,
+    unit: str,
+    measure: Callable[[int, Context], float],
+    about: str,
+    group: str,
+    sizes: tuple[int, ...] = PLAYED_SIZES,
+    budget: str | None = None,
+) -> Slope:
+    return Slope(
+        name=f"cluster.{name}",
+        role=NODE,
+        by="nodes",
+        unit=unit,
+        sizes=sizes,
+        quick_sizes=PLAYED_QUICK,
+        measure=measure,
+        size_key="edge_nodes",
+        budget=budget,
+        about=f"{about}; simulated time",
+        group=f"cluster-{group}",
+        simulated=True,
+    )
 
 
-def joined_known(size: int, context: Context) -> float:
-    return parted(size, context).joined.known_s
+def of_situation(situation: str) -> list[Slope]:
+    """Its rows. The share of a core is that of the core and the codec alone: the sockets' is added in
+    `real_core`."""
+    _, about, group, sizes = SITUATIONS[situation]
+    budget = None if situation == "played-rest" else BYTES
+    alone = f"{about}, core and codec alone"
+    found = [
+        played(
+            f"{situation}.bytes-per-s",
+            "bytes/s",
+            partial(minute_bytes, situation),
+            about,
+            group,
+            sizes,
+            budget,
+        ),
+        played(
+            f"{situation}.messages-per-s",
+            "messages/s",
+            partial(minute_messages, situation),
+            about,
+            group,
+            sizes,
+        ),
+        played(f"{situation}.core-alone", SHARE, partial(minute_core, situation), alone, group, sizes),
+    ]
+    if situation != "played-rest":
+        known = f"until every node knows: {about}"
+        found.append(played(f"{situation}.known", "s", partial(minute_known, situation), known, group, sizes))
+    return found
 
 
-BYTES, CORE = "control_bytes_per_s", "control_core_share"
-SHARE = "share of a core"
 PLAYED = (
-    played("copies-rest-bytes", "bytes/s", copies_bytes, "beside the rest, copies on, nothing drawn", group="copies"),
-    played("copies-rest-core", SHARE, copies_core, "beside the rest, copies on, nothing drawn", group="copies"),
-    played("zone-lost-bytes", "bytes/s", zone_lost_bytes, "the worst minute", NODE, BYTES, "zone"),
-    played("zone-lost-core", SHARE, zone_lost_core, "the worst minute", NODE, CORE, "zone"),
-    played("zone-lost-leader-core", SHARE, zone_lost_leader_core, "the worst minute", VOTER, CORE, "zone"),
-    played("zone-lost-known", "s", zone_lost_known, "until every node holds all of the zone to be dead", group="zone"),
-    played("parted-bytes", "bytes/s", parted_bytes, "the worst minute apart", NODE, BYTES, "parted"),
-    played("parted-core", SHARE, parted_core, "the worst minute apart", NODE, CORE, "parted"),
-    played("parted-known", "s", parted_known, "until all hold the other region to be dead", group="parted"),
-    played("joined-bytes", "bytes/s", joined_bytes, "the worst minute after they join", NODE, BYTES, "parted"),
-    played("joined-core", SHARE, joined_core, "the worst minute after they join", NODE, CORE, "parted"),
-    played("joined-known", "s", joined_known, "until all hold all to be alive again", group="parted"),
+    *(slope for situation in SITUATIONS for slope in of_situation(situation)),
+    played(
+        "copies-rest.bytes-per-s",
+        "bytes/s",
+        copies_bytes,
+        "copies on and nothing drawn, beside the rest",
+        "copies",
+    ),
+    played(
+        "copies-rest.core-alone", SHARE, copies_core, "copies on and nothing drawn, beside the rest", "copies"
+    ),
 )
 
 # Worked out.
@@ -316,8 +390,18 @@
     it is found dead, once it comes back."""
     told = costs.capacity.size
     events = told.restarts_per_day + 2 * told.machine_failures_per_day
-    spent = events * costs.at("restart-bytes", size) + told.changes_per_day * costs.at("change-bytes", size)
-    return costs.at("control-rest-bytes", size) + spent / DAY_S
+    spent = events * costs.at("cluster.restart.bytes", size) + told.changes_per_day * costs.at(
+        "cluster.change.bytes", size
+    )
+    return costs.at("cluster.rest.bytes-per-s", size) + spent / DAY_S
+
+
+def real_core(situation: str, size: int, costs: Costs) -> float:
+    """The hollow node's share at rest by messages, and what the core spends beyond its own share at rest."""
+    a_message = costs.at("cluster.rest.core", size) / costs.at("cluster.rest.messages-per-s", size)
+    alone = costs.at(f"cluster.{situation}.core-alone", size)
+    beyond = alone - costs.at("cluster.played-rest.core-alone", size)
+    return a_message * costs.at(f"cluster.{situation}.messages-per-s", size) + max(0.0, beyond)
 
 
 def one_core(capacity: Capacity) -> float:
@@ -327,41 +411,50 @@
 def aside_leader_core(size: int, costs: Costs) -> float:
     """The leader on a machine set aside: one of its cores is all that it can use, and no other voter shares
     its work, so that machines that are out leave it the same."""
-    return costs.at("control-leader-core", size)
-
-
-def aside_voters_left(size: int, costs: Costs) -> float:
-    """Voters that would be missing to a majority, on the machines set aside but for those that are out."""
-    told = costs.capacity.size
-    voters = most_voters(told.control_machines)
-    return float(voters // 2 + 1 - (voters - told.control_machines_out))
-
-
-def most_voters(machines: int) -> int:
-    """Three, five or seven, one a machine."""
-    return max(count for count in (1, 3, 5, 7) if count <= machines)
+    return costs.at("cluster.leader.core", size)
 
 
 DERIVED = (
+    *(
+        Derived(
+            name=f"cluster.{situation}.core",
+            role=NODE,
+            by="nodes",
+            unit=SHARE,
+            sizes=PLAYED_SIZES,
+            sources=(
+                "cluster.rest.core",
+                "cluster.rest.messages-per-s",
+                "cluster.played-rest.core-alone",
+                f"cluster.{situation}.core-alone",
+                f"cluster.{situation}.messages-per-s",
+            ),
+            work_out=partial(real_core, situation),
+            size_key="edge_nodes",
+            budget=CORE,
+            about=f"{SITUATIONS[situation][1]}, with the sockets' share by messages",
+        )
+        for situation in ("zone-lost", "parted", "joined")
+    ),
     Derived(
-        name="control-day-bytes",
+        name="cluster.day.bytes-per-s",
         role=NODE,
         by="nodes",
         unit="bytes/s",
         sizes=HOLLOW_SIZES,
-        sources=("control-rest-bytes", "change-bytes", "restart-bytes"),
+        sources=("cluster.rest.bytes-per-s", "cluster.change.bytes", "cluster.restart.bytes"),
         work_out=day_bytes,
         size_key="edge_nodes",
         budget=BYTES,
         about="the mean of an ordinary day: changes, restarts, failed machines",
     ),
     Derived(
-        name="aside-leader-core",
+        name="cluster.aside.leader-core",
         role="machines set aside",
         by="nodes",
         unit=SHARE,
         sizes=HOLLOW_SIZES,
-        sources=("control-leader-core",),
+        sources=("cluster.leader.core",),
         work_out=aside_leader_core,
         size_key="edge_nodes",
         budget=one_core,
@@ -370,4 +463,3 @@
 )
 
 SLOPES: tuple[Slope | Derived, ...] = (*HOLLOW, *AGED, *PLAYED, *DERIVED)
-__all__ = ["SLOPES", "AgedCost", "ControlCost"]
