--- a/merlintally/lab/scale/slopes_cluster.py
+++ b/merlintally/lab/scale/slopes_cluster.py
@@ -32,6 +32,7 @@
 HOLLOW_SIZES, HOLLOW_QUICK = (50, 100, 200, 400, OPERATORS_NODES), (10, 20, 40, 80)
 AGED_SIZES, AGED_QUICK = (10, 20, 40, 80), (8, 12, 16, 24)
 PLAYED_SIZES, PLAYED_QUICK = (35, 70, 140, 280), (14, 28, 42, 56)
+LOSS_SIZES = (70, 140, 280, OPERATORS_NODES)
 MOST_SEEDS, MOST_PLAYED = 4, 140  # seeds of one size, and nodes of all of them together
 COPIES = 3
 DAY_S = 86400.0
@@ -290,8 +291,8 @@
         "zone",
         (*PLAYED_SIZES, OPERATORS_NODES),
     ),
-    "parted": (apart, "the worst minute after two regions have lost each other", "parted", PLAYED_SIZES),
-    "joined": (joined, "the worst minute after they have joined again", "parted", PLAYED_SIZES),
+    "parted": (apart, "the worst minute after two regions have lost each other", "parted", LOSS_SIZES),
+    "joined": (joined, "the worst minute after they have joined again", "parted", LOSS_SIZES),
 }
 
 
