--- a/merlintally/cluster/links.py
+++ b/merlintally/cluster/links.py
@@ -240,15 +240,20 @@
                 group.cancel_scope.cancel()
 
             group.start_soon(watch)
-            while True:
-                while outward.queue:
-                    data = b"".join(outward.queue)
-                    outward.queue.clear()
-                    self.sent_bytes += len(data)
-                    with anyio.fail_after(PATIENCE_S):  # guards against one that takes and never reads
-                        await stream.send(data)
-                outward.wanted = anyio.Event()
-                await outward.wanted.wait()
+            with suppress(*ENDED):  # guards against a stream that breaks in a send and takes the node with it
+                await self._send_all(outward, stream)
+            group.cancel_scope.cancel()
+
+    async def _send_all(self, outward: Outward, stream: anyio.abc.SocketStream) -> None:
+        while True:
+            while outward.queue:
+                data = b"".join(outward.queue)
+                outward.queue.clear()
+                self.sent_bytes += len(data)
+                with anyio.fail_after(PATIENCE_S):  # guards against one that takes and never reads
+                    await stream.send(data)
+            outward.wanted = anyio.Event()
+            await outward.wanted.wait()
 
     # Inward.
 
--- a/merlintally/lab/scale/control_schedule.py
+++ b/merlintally/lab/scale/control_schedule.py
@@ -17,7 +17,7 @@
 from merlintally.cluster.copies import Terms as CopyTerms
 from merlintally.cluster.core import STREAMED, Plan
 from merlintally.cluster.links import DECODERS, FORM, Codec, call_of
-from merlintally.cluster.members.core import DEAD
+from merlintally.cluster.members.core import DEAD, START, Member
 from merlintally.cluster.node import plan_of
 from merlintally.lab.schedules.work import Node, Rig
 from merlintally.lab.schedules.world import Call, World
@@ -232,6 +232,18 @@
     return worst_minute(rig, lambda: rig.world.now > SETTLE_S, REST_S)
 
 
+def rest_with_dead(size: int, seed: int, dead: int) -> Minute:
+    """At rest, where every node knows of so many others that are dead."""
+    rig = ControlRig(seed, size)
+    rig.start_all()
+    for node in rig.running_nodes():
+        for number in range(size, size + dead):
+            name, address = name_of(number), address_of(number)
+            assert node.core is not None
+            node.core.members.known[name] = Member(name, address, DEAD, START, node.clock.now())
+    return worst_minute(rig, lambda: rig.world.now > SETTLE_S, REST_S)
+
+
 def lose_zone(size: int, seed: int, copies: int = 0, zones: int = ZONES) -> Minute:
     """All nodes of one zone end at once."""
     rig = ControlRig(seed, size, copies, zones)
