--- a/merlintally/lab/scale/hollow_check.py
+++ b/merlintally/lab/scale/hollow_check.py
@@ -40,7 +40,7 @@
 EXAMPLE = ROOT / "example" / "config.json"
 CLIENT_PORT, NOBODYS_PORT = 7379, 9  # where a node listens to clients; where neither counter nor discovery is
 EXCHANGE, GOSSIP = "m.state", "m.gossip"
-QUIET_S, QUIET_MOST_S = 0.7, 60.0  # over twice the time between two datagrams of gossip
+MOST_STRETCHES = 8  # until one is without gossip
 ASK_S, WRITE_S = 2.0, 5.0
 
 
@@ -254,21 +254,11 @@
         return max(self.hollow_leader.beside(self.real_leader).values())
 
 
-def until_quiet(real: RealCluster, hollow: HollowCluster) -> None:
-    """Until nobody has gossiped for a while: news of the start is then told."""
-
-    def gossiped() -> int:
-        sent = [use.sent for use in real.mark().values()] + [
-            use.sent for use in hollow.mark().nodes().values()
-        ]
-        return sum(one.calls.get(GOSSIP, Count()).messages for one in sent)
-
-    ends, before = time.monotonic() + QUIET_MOST_S, -1
-    while (now := gossiped()) != before:
-        if time.monotonic() > ends:
-            raise HollowFailed("nodes go on gossiping")
-        before = now
-        time.sleep(QUIET_S)
+def gossiped(real: RealCluster, hollow: HollowCluster) -> int:
+    """Datagrams of news alone that all nodes have sent."""
+    sent = [use.sent for use in real.mark().values()]
+    sent += [use.sent for use in hollow.mark().nodes().values()]
+    return sum(one.calls.get(GOSSIP, Count()).messages for one in sent)
 
 
 def compare(size: int, seconds: float, seed: int = 1) -> Compared:
@@ -278,10 +268,15 @@
         hollow = stack.enter_context(HollowCluster(size, seed=seed))
         real_leader = real.until_settled()
         hollow.until_settled()
-        until_quiet(real, hollow)
-        real_before, hollow_before = real.mark(), hollow.mark()
-        time.sleep(seconds)
-        real_after, hollow_after = real.mark(), hollow.mark()
+        for _ in range(MOST_STRETCHES):  # one without news of members: then both are at rest
+            told = gossiped(real, hollow)
+            real_before, hollow_before = real.mark(), hollow.mark()
+            time.sleep(seconds)
+            real_after, hollow_after = real.mark(), hollow.mark()
+            if gossiped(real, hollow) == told:
+                break
+        else:
+            raise HollowFailed("nodes go on gossiping")
         hollow_uses = hollow_before.nodes(), hollow_after.nodes()
         names = hollow.followers
         return Compared(
