--- a/merlintally/lab/scale/slopes_cluster.py
+++ b/merlintally/lab/scale/slopes_cluster.py
@@ -147,7 +147,13 @@
     of_cost("cluster.leader.bytes-per-s", "bytes/s", "at rest, the leader", VOTER, BYTES),
     of_cost("cluster.leader.messages-per-s", "messages/s", "at rest, the leader", VOTER),
     of_cost("cluster.leader.core", "share of a core", "at rest, the leader", VOTER, CORE),
-    of_cost("cluster.leader.memory", "MB", "at rest, the leader", VOTER, "control_memory_mb"),
+    of_cost(
+        "cluster.leader.memory",
+        "MB",
+        "at rest, the leader: a stream each way to every node, as any node has in the end",
+        VOTER,
+        "control_memory_mb",
+    ),
     of_cost(
         "cluster.change.one.time",
         "s",
@@ -173,10 +179,6 @@
     return aged(size, context).streams
 
 
-def aged_memory(size: int, context: Context) -> float:
-    return aged(size, context).memory_mb
-
-
 def sockets(capacity: Capacity) -> float:
     return float(SOCKETS)
 
@@ -211,13 +213,6 @@
         "open once a node has exchanged with every other, against the 1,024 that a process has by default",
         sockets,
     ),
-    of_age(
-        "cluster.streams.memory",
-        "MB",
-        aged_memory,
-        "beyond the process without a cluster, all streams open; hollow nodes on loopback",
-        "control_memory_mb",
-    ),
 )
 
 # Simulated time. At small sizes the mean of a few seeds.
