--- a/merlintally/lab/scale/hollow.py
+++ b/merlintally/lab/scale/hollow.py
@@ -7,8 +7,9 @@
 
 - no clients and no app servers: nothing is taken or sent, so `Local` always tells of an idle node with no
   execution out, and no rates;
-- no owner of the decisions (`net.keeper.Keeper`, `choice.Gateway`): what the cluster part posts to it (who is
-  taken out, what others drew) is counted and dropped, and it tells no notes, so copies hold no rows of it;
+- no owner of the decisions (`net.dispatcher.Dispatcher`, `choice.Gateway`): what the cluster part posts to
+  it (who is taken out, what others drew) is counted and dropped, and it tells no notes, so copies hold no
+  rows of it;
 - no discovery and no counter: the app servers that the node's list shows are given at its start;
 - no record and no log lines; the nodes of one process share its event loop, interpreter and thread pool.
 """
@@ -32,7 +33,7 @@
 from merlintally.cluster.node import ClusterNode
 from merlintally.lab.scale.meter import MeteredLinks, Sent
 from merlintally.net.configuration import Listed
-from merlintally.net.keeper import Keeper
+from merlintally.net.dispatcher import Dispatcher
 from merlintally.net.log import Log
 from merlintally.net.node import EdgeNode
 from merlintally.net.phases import Phase, Phases
@@ -93,14 +94,14 @@
         return 0
 
 
-class HollowKeeper:
+class HollowDispatcher:
     """What the cluster part asks of the owner of the decisions, where there are no decisions."""
 
     def __init__(self) -> None:
         self.right: object = None
         self.peers: object = None
         self.shown: dict[str, Listed] | None = None
-        self.fleet, self.taken = HollowFleet(), dict[int, object]()
+        self.fleet, self.open_requests = HollowFleet(), dict[int, object]()
         self.posted = 0
 
     async def post(self, call: Callable[..., None], *args: Any) -> None:
@@ -136,7 +137,7 @@
         if name in part.voters and not (folder / "agreement.log").exists():
             found_folder(folder)
         super().__init__(part, name, seed, Disk(folder), Log(name, 0.0, io.StringIO()))
-        self.edge, self.hollow_keeper = HollowEdge(known), HollowKeeper()
+        self.edge, self.hollow_dispatcher = HollowEdge(known), HollowDispatcher()
         self.applied: dict[int, float] = {}
         self.control_sent_before = Sent()  # by former starts
         if spec.exchange_s is not None:
@@ -152,7 +153,7 @@
         """Stand until cancelled."""
         try:
             # the cluster part reads of both what the hollow ones have, and nothing else
-            await self.run(cast(EdgeNode, self.edge), cast(Keeper, self.hollow_keeper))
+            await self.run(cast(EdgeNode, self.edge), cast(Dispatcher, self.hollow_dispatcher))
         finally:
             self.disk.close()
 
