Scale tests measure a node with its subset of app servers, and without

A node's steps with its subset move from the keeper to a class of their own, which the scale tests' simulated node uses too; before, it worked with the whole list, whatever a real node does.

--- a/merlintally/cli/scale.py
+++ b/merlintally/cli/scale.py
@@ -24,6 +24,9 @@
 FILE = click.Path(dir_okay=False, path_type=Path)
 json_option = click.option("--json", "as_json", is_flag=True, help="Print for machines.")
 quick_option = click.option("--quick", is_flag=True, help="Fewer and smaller sizes: minutes in all.")
+whole_lists_option = click.option(
+    "--whole-lists", is_flag=True, help="Nodes without subsets: each works with all app servers."
+)
 operators_option = click.option(
     "--operators", type=FILE, envvar="LB_OPERATORS", help="The operators' file, for its section [lab]."
 )
@@ -76,6 +79,7 @@
     "--capacity", "capacity_file", type=FILE, help="Another size and budgets than deploy/capacity.toml."
 )
 @click.option("--seed", type=int, default=1, show_default=True, help="Seed of all chance.")
+@whole_lists_option
 @operators_option
 @json_option
 def run_tests(
@@ -83,6 +87,7 @@
     quick: bool,
     capacity_file: Path | None,
     seed: int,
+    whole_lists: bool,
     operators: Path | None,
     as_json: bool,
 ) -> int:
@@ -92,12 +97,13 @@
     """
     tests = chosen(names)
     capacity = read_capacity(capacity_file)
-    path = file_in(results_folder(operators), quick)
+    path = file_in(results_folder(operators), quick, whole_lists)
     kept = kept_or_new(path, capacity, quick)
     rows: list[Row] = []
     failures: list[Failure] = []
     console = Console(stderr=True)
-    for result in run(tests, Context(capacity, quick, seed), kept.rows, lambda text: console.log(text)):
+    context = Context(capacity, quick, seed, whole_lists)
+    for result in run(tests, context, kept.rows, lambda text: console.log(text)):
         if isinstance(result, Failure):
             failures.append(result)
             continue
@@ -112,14 +118,15 @@
 
 @scale.command("report")
 @quick_option
+@whole_lists_option
 @click.option("--to", type=FILE, help="The page; else beside the results.")
 @operators_option
 @json_option
-def report(quick: bool, to: Path | None, operators: Path | None, as_json: bool) -> int:
+def report(quick: bool, whole_lists: bool, to: Path | None, operators: Path | None, as_json: bool) -> int:
     """Print the latest rows, worst first, and write one HTML page with plots about them."""
     from merlintally.lab.scale.page import write_page
 
-    path = file_in(results_folder(operators), quick)
+    path = file_in(results_folder(operators), quick, whole_lists)
     kept = read_kept(path)
     show(list(kept.rows.values()), as_json)
     page = to or path.with_suffix(".html")
@@ -143,10 +150,15 @@
     return {None: "-", True: "holds", False: "broken"}[row.holds]
 
 
+def lists_of(row: Row) -> str:
+    """Whether nodes work with subsets of app servers, where lists are long."""
+    return "whole" if row.whole_lists else "subsets"
+
+
 def table_of(rows: Iterable[Row]) -> Table:
     """The rows, those worst for their budget first."""
     table = Table()
-    for name in ("test", "by", "grows", "error", "at size", "budget", "unit", "factor", "verdict"):
+    for name in ("test", "by", "grows", "error", "at size", "budget", "unit", "factor", "verdict", "lists"):
         table.add_column(
             name, justify="right" if name in ("error", "at size", "budget", "factor") else "left"
         )
@@ -161,6 +173,7 @@
             row.fit.unit,
             "-" if row.factor is None else f"{row.factor:.2g}",
             verdict(row),
+            lists_of(row),
         ]
         table.add_row(*cells)
     return table
--- a/merlintally/lab/scale/driver.py
+++ b/merlintally/lab/scale/driver.py
@@ -8,14 +8,17 @@
 
 import heapq
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from random import Random
 from typing import Any, Protocol
 
 from merlintally.choice import PACE, Gateway, Submission
-from merlintally.interface import ServerFacts, StartFacts
+from merlintally.interface import Outcome
 from merlintally.lab.scale.workload import REQUEST_CLASS, Arrivals, Tenant
+from merlintally.net.configuration import Deployment
+from merlintally.net.roster import Roster, Tell, subset_of
+from merlintally.subsets import Listing
 
 ANSWER_S = 0.05  # mean answer time of an app server
 PATIENCE_S = 4.0  # that a client has
@@ -74,19 +77,25 @@
 
 
 class SimulatedNode:
-    """Drives one `Gateway`. `now` is simulated time, from 0; measuring begins with `measure`."""
+    """Drives one `Gateway`, and the node's subset of app servers where `told` has it on.
+
+    `now` is simulated time, from 0; measuring begins with `measure`. `connections` is told of the list, too.
+    """
 
     def __init__(
         self,
-        facts: StartFacts,
+        told: Deployment,
         seed: int,
         answer_s: float = ANSWER_S,
         counter: CounterModel | None = None,
         watch: SendWatch | None = None,
+        connections: Tell | None = None,
         began: float = 1000.0,
     ) -> None:
         self.now, self.random = began, Random(seed)
-        self.gateway = Gateway(facts, seed, self.now)
+        self.gateway = Gateway(told.facts, seed, self.now)
+        self.roster = Roster(subset_of(told), self.gateway, self._tell_roster)
+        self.connections = connections
         if counter is not None and not counter.slow:
             self.gateway.pace = PACE  # to which quick answers of the counter bring it within a minute
         self.answer_s, self.counter, self.watch = answer_s, counter, watch
@@ -123,8 +132,13 @@
 
     # What comes to the node.
 
-    def listed(self, entries: Iterable[ServerFacts], complete: bool) -> None:
-        self._call((), self.gateway.roster, self.now, list(entries), complete)
+    def listed(self, entries: Sequence[Listing], complete: bool) -> None:
+        self._call((), self.roster.listed, self.now, entries, complete)
+
+    def _tell_roster(self, entries: Sequence[Listing], complete: bool) -> None:
+        if self.connections is not None:
+            self.connections(entries, complete)
+        self.gateway.roster(self.now, [entry.facts for entry in entries], complete)
 
     def arrive(self, tenant: Tenant) -> Request:
         """A request of a tenant comes."""
@@ -156,22 +170,30 @@
 
     def _wake(self) -> None:
         before = self.totals.module_s
-        self._call((), self.gateway.wake, self.now)
+        self._call((), self._woken)
         spent = self.totals.module_s - before
         self.totals.wake_s += spent
         self.totals.longest_wake_s = max(self.totals.longest_wake_s, spent)
 
-    def _answered(self, request: Request, number: int, outcome: str, elapsed: float) -> None:
+    def _woken(self) -> None:
+        self.gateway.wake(self.now)
+        self.roster.fit(self.now)
+
+    def _answered(self, request: Request, number: int, outcome: Outcome, elapsed: float) -> None:
         server = request.out.pop(number, None)
         if server is None or request.handle is None:
             return
         over = outcome == "ok"
-        self._call((request,), request.handle.ended, self.now, number, outcome, elapsed, over)
+        self._call((request,), self._ended, request.handle, number, server, outcome, elapsed)
         if self.watch is not None:
             self.watch.ended(self.now, request.number, number, server)
         if over:
             self._finish(request)
 
+    def _ended(self, handle: Submission, number: int, server: str, outcome: Outcome, elapsed: float) -> None:
+        handle.ended(self.now, number, outcome, elapsed, outcome == "ok")
+        self.roster.ended(self.now, server, outcome)
+
     def _counted(self, name: int, total: float, elapsed: float) -> None:
         self._call((), self.gateway.counted, self.now, name, "ok", total, elapsed)
 
@@ -221,7 +243,7 @@
         if self.watch is not None:
             self.watch.begun(self.now, request.number, number, server)
         takes = self.answer_s * (0.5 + 0.5 * self.random.expovariate(1.0))
-        outcome = "timed_out" if 0 < time_out < takes else "ok"
+        outcome: Outcome = "timed_out" if 0 < time_out < takes else "ok"
         takes = min(takes, time_out) if time_out > 0 else takes
         self.at(self.now + takes, self._answered, request, number, outcome, takes)
 
--- a/merlintally/lab/scale/receiver.py
+++ b/merlintally/lab/scale/receiver.py
@@ -34,8 +34,8 @@
 class Receiver:
     """What an edge node does with an answer of discovery."""
 
-    def __init__(self, nodes: int) -> None:
-        told, clock = deployment(nodes), Clock()
+    def __init__(self, nodes: int, whole_lists: bool = False) -> None:
+        told, clock = deployment(nodes, whole_lists=whole_lists), Clock()
         log = Log(told.name, told.bounds.log_lines)
         self.keeper = Keeper(told, clock, log)
         self.keeper.fleet = fleet_of(told, self.keeper, clock, log)
--- a/merlintally/lab/scale/runner.py
+++ b/merlintally/lab/scale/runner.py
@@ -35,7 +35,9 @@
 ) -> Row:
     budget = test.budget_of(context.capacity)
     holds = None if budget is None else at_size <= budget
-    return Row(test.name, test.role, test.by, points, fit, at_size, budget, holds)
+    return Row(
+        test.name, test.role, test.by, points, fit, at_size, budget, holds, whole_lists=context.whole_lists
+    )
 
 
 @dataclass(frozen=True)
--- a/merlintally/lab/scale/slope.py
+++ b/merlintally/lab/scale/slope.py
@@ -45,6 +45,7 @@
     at_size: float
     budget: float | None
     holds: bool | None  # None: there is no budget for it
+    whole_lists: bool = False  # nodes without subsets of app servers
 
     @property
     def factor(self) -> float | None:
@@ -59,6 +60,7 @@
     capacity: Capacity
     quick: bool = False
     seed: int = 1
+    whole_lists: bool = False  # nodes work with all app servers, without subsets
 
 
 Measure = Callable[[int, Context], float]
--- a/merlintally/lab/scale/slopes_connections.py
+++ b/merlintally/lab/scale/slopes_connections.py
@@ -17,8 +17,8 @@
 from merlintally.lab.scale.receiver import most_links
 from merlintally.lab.scale.slope import Context, Costs, Derived, Slope
 from merlintally.lab.scale.usage import OtherNodes
-from merlintally.lab.scale.workload import Arrivals, deployment, entry, server_facts, tenants_of
-from merlintally.net.configuration import Deployment, listed
+from merlintally.lab.scale.workload import Arrivals, deployment, server_list, tenants_of
+from merlintally.net.configuration import Deployment
 from merlintally.net.keeper import Keeper
 from merlintally.net.log import Log
 from merlintally.net.servers import Fleet, Link, Server
@@ -93,6 +93,7 @@
         self.answered_at: dict[str, float] = {}
         self.held: list[int] = []
         self.known: list[int] = []
+        self.working: list[int] = []
 
     def begun(self, now: float, request: int, number: int, server: str) -> None:
         self.clock.time = now
@@ -113,12 +114,14 @@
         self.fleet.sweep()
         self.held.append(self.fleet.descriptors.held)
         self.known.append(sum(now - at < FAMILIAR for at in self.answered_at.values()))
+        self.working.append(len(self.fleet.servers))
         self.node.at(now + SWEEP_S, self.sweep)
 
     def reset(self) -> None:
         self.attempts = self.unfamiliar = self.fleet.handshakes = self.fleet.without_descriptor = 0
         self.held.clear()
         self.known.clear()
+        self.working.clear()
 
 
 @dataclass(frozen=True)
@@ -128,7 +131,7 @@
     held: float  # on average
     handshakes_per_request: float
     unfamiliar_share: float  # of attempts: to an app server without an answer for FAMILIAR seconds
-    known_share: float  # of app servers: with such an answer
+    known_share: float  # of app servers that the node works with: those with such an answer
 
 
 @cache
@@ -136,14 +139,13 @@
     """A node with so many requests a second, before so many app servers."""
     size = context.capacity.size
     tenants = tenants_of(size.tenants, size.requests_per_s)
-    told = deployment(size.edge_nodes)
+    told = deployment(size.edge_nodes, whole_lists=context.whole_lists)
     clock = SimulatedClock()
     fleet = SimulatedFleet(told, clock, Log(told.name, told.bounds.log_lines))
     counter = OtherNodes(tenants, size.edge_nodes, context.seed)
-    node = SimulatedNode(told.facts, context.seed, counter=counter)
+    node = SimulatedNode(told, context.seed, counter=counter, connections=fleet.roster)
     node.watch = watch = ConnectionWatch(node, fleet, clock)
-    fleet.roster([listed(entry(one, size.zones)) for one in range(servers)], True)
-    node.listed(server_facts(servers, size.zones), True)
+    node.listed(server_list(servers, size.zones), True)
     arrivals, chance = Arrivals(tenants, node.random), Random(context.seed)
 
     def next_request() -> None:
@@ -161,7 +163,7 @@
         held=sum(watch.held) / len(watch.held),
         handshakes_per_request=fleet.handshakes / requests,
         unfamiliar_share=watch.unfamiliar / watch.attempts,
-        known_share=sum(watch.known) / len(watch.known) / servers,
+        known_share=sum(watch.known) / sum(watch.working),
     )
 
 
@@ -236,7 +238,7 @@
             ("node", "connections", servers_held, "connections to app servers that a node holds"),
             ("handshakes", "a request", servers_handshakes, "connections opened a request"),
             ("unfamiliar", "share", servers_unfamiliar, "attempts to a server silent for over 5 s"),
-            ("known", "share", servers_known, "app servers that a node had an answer of within 5 s"),
+            ("known", "share", servers_known, "app servers that a node works with, answered within 5 s"),
         )
     ),
     *(
--- a/merlintally/lab/scale/slopes_decision.py
+++ b/merlintally/lab/scale/slopes_decision.py
@@ -22,7 +22,7 @@
     Tenant,
     deployment,
     plan_name,
-    server_facts,
+    server_list,
     tenants_of,
 )
 from merlintally.notes import ROW
@@ -75,8 +75,8 @@
 
 def node_of(context: Context, tenants: list[Tenant], nodes: int | None = None) -> SimulatedNode:
     nodes = nodes or context.capacity.size.edge_nodes
-    facts = deployment(nodes).facts
-    return SimulatedNode(facts, context.seed, counter=OtherNodes(tenants, nodes, context.seed))
+    told = deployment(nodes, whole_lists=context.whole_lists)
+    return SimulatedNode(told, context.seed, counter=OtherNodes(tenants, nodes, context.seed))
 
 
 @cache
@@ -85,7 +85,7 @@
     size = context.capacity.size
     tenants = tenants_of(size.tenants, size.requests_per_s)
     node = node_of(context, tenants)
-    node.listed(server_facts(servers, size.zones), True)
+    node.listed(server_list(servers, size.zones), True)
     arrivals = Arrivals(tenants, node.random)
     warm_up(node, arrivals, context)
     return measured_run(node, arrivals, context)
@@ -97,7 +97,7 @@
     size = context.capacity.size
     tenants = tenants_of(size.tenants, size.requests_per_s)
     node = node_of(context, tenants)
-    node.listed(server_facts(FEW_SERVERS, size.zones), True)
+    node.listed(server_list(FEW_SERVERS, size.zones), True)
     arrivals = Arrivals(tenants, node.random)
     make_known(node, known)
     warm_up(node, arrivals, context)
@@ -124,7 +124,7 @@
     tenants = tenants_of(size.tenants, size.requests_per_s * 100)  # quotas that never bind
     node = node_of(context, tenants, OPEN_NODES)
     node.request_class, node.patience_s = PATIENT_CLASS, 600.0
-    node.listed(server_facts(FEW_SERVERS, size.zones), True)
+    node.listed(server_list(FEW_SERVERS, size.zones), True)
     arrivals = Arrivals(tenants, node.random)
     node.finished = lambda _: node.at(node.now, arrive_next, node, arrivals)
     for at in range(count):
@@ -196,7 +196,7 @@
 
 def tenants_memory(known: int, context: Context) -> float:
     """MB that the module holds for so many tenants (tracemalloc), a request of each having come."""
-    node = SimulatedNode(deployment(context.capacity.size.edge_nodes).facts, context.seed)
+    node = SimulatedNode(deployment(context.capacity.size.edge_nodes), context.seed)
     gc.collect()
     tracemalloc.start()
     make_known(node, known)
--- a/merlintally/lab/scale/slopes_lists.py
+++ b/merlintally/lab/scale/slopes_lists.py
@@ -52,8 +52,12 @@
     return 1000 * (time.process_time() - begun)
 
 
+def fresh_receiver(context: Context) -> Receiver:
+    return Receiver(context.capacity.size.edge_nodes, context.whole_lists)
+
+
 def ready_receiver(servers: int, context: Context) -> Receiver:
-    receiver = Receiver(context.capacity.size.edge_nodes)
+    receiver = fresh_receiver(context)
     receiver.take(whole_body(servers, context))
     return receiver
 
@@ -65,7 +69,7 @@
 def whole_cost(servers: int, context: Context) -> float:
     """At a start: the list is read and taken by a node that has none."""
     body = whole_body(servers, context)
-    fresh = [Receiver(context.capacity.size.edge_nodes) for _ in range(WHOLE_REPEATS)]
+    fresh = [fresh_receiver(context) for _ in range(WHOLE_REPEATS)]
     return median(milliseconds(partial(receiver.take, body)) for receiver in fresh)
 
 
@@ -73,7 +77,7 @@
 def whole_memory(servers: int, context: Context) -> tuple[float, float]:
     """Bytes that the list takes once taken, and at the most while it is (tracemalloc)."""
     body = whole_body(servers, context)
-    receiver = Receiver(context.capacity.size.edge_nodes)
+    receiver = fresh_receiver(context)
     gc.collect()
     tracemalloc.start()
     receiver.take(body)
--- a/merlintally/lab/scale/slopes_tenants.py
+++ b/merlintally/lab/scale/slopes_tenants.py
@@ -16,7 +16,7 @@
 from merlintally.lab.scale.noting import NotingNodes
 from merlintally.lab.scale.slope import Context, Slope
 from merlintally.lab.scale.usage import OtherNodes
-from merlintally.lab.scale.workload import Arrivals, Tenant, deployment, server_facts, tenants_of
+from merlintally.lab.scale.workload import Arrivals, Tenant, deployment, server_list, tenants_of
 
 SERVERS_PER_NODE = 2
 WARM_UP_S, MEASURED_S, QUICK_MEASURED_S = 14.0, 40.0, 8.0  # simulated; nodes tell a note in 11 s
@@ -101,9 +101,9 @@
     size, rate = context.capacity.size, context.capacity.node_requests_per_s
     tenants = tenants_of(tenant_count, rate * nodes)
     others = (NotingNodes if notes else OtherNodes)(tenants, nodes, context.seed, slow)
-    facts = deployment(nodes, counter=True, notes=notes).facts
-    node = SimulatedNode(facts, context.seed, counter=others)
-    node.listed(server_facts(max(size.zones, SERVERS_PER_NODE * nodes), size.zones), True)
+    told = deployment(nodes, counter=True, notes=notes, whole_lists=context.whole_lists)
+    node = SimulatedNode(told, context.seed, counter=others)
+    node.listed(server_list(max(size.zones, SERVERS_PER_NODE * nodes), size.zones), True)
     witness = Witness(node, others)
     if isinstance(others, NotingNodes):
         others.start(node)
--- a/merlintally/lab/scale/store.py
+++ b/merlintally/lab/scale/store.py
@@ -12,8 +12,6 @@
 from merlintally.lab.scale.capacity import Capacity
 from merlintally.lab.scale.slope import Row
 
-FULL_FILE, QUICK_FILE = "scale.json", "scale-quick.json"
-
 
 class Kept(Struct, frozen=True):
     """The latest row of each scale test, all at the same size of the installation."""
@@ -32,8 +30,9 @@
         )
 
 
-def file_in(folder: Path, quick: bool) -> Path:
-    return folder / (QUICK_FILE if quick else FULL_FILE)
+def file_in(folder: Path, quick: bool, whole_lists: bool = False) -> Path:
+    """Rows of nodes without subsets of app servers are in a file of their own."""
+    return folder / f"scale{'-quick' if quick else ''}{'-whole-lists' if whole_lists else ''}.json"
 
 
 def read_kept(path: Path) -> Kept:
--- a/merlintally/lab/scale/workload.py
+++ b/merlintally/lab/scale/workload.py
@@ -6,12 +6,11 @@
 import json
 import math
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 from typing import Any
 
-from merlintally.interface import ServerFacts
-from merlintally.net.configuration import Deployment, deployment_of, listed
+from merlintally.net.configuration import Deployment, Listed, deployment_of, listed
 
 SKEW = 0.9  # exponent of the Zipf law by which requests fall to tenants: most are seldom seen
 QUOTA_SHARE = 1.5  # a tenant's quota, at the least, in times of its mean use
@@ -121,9 +120,12 @@
     }
 
 
-def deployment(nodes: int, counter: bool = True, notes: bool = False) -> Deployment:
-    """The checked configuration of one edge node among `nodes`, as a real one reads it."""
-    return deployment_of(
+def deployment(
+    nodes: int, counter: bool = True, notes: bool = False, whole_lists: bool = False
+) -> Deployment:
+    """The checked configuration of one edge node among `nodes`, as a real one reads it; with `whole_lists` it
+    works with all app servers in place of a subset."""
+    told = deployment_of(
         {
             "name": "n0",
             "listen": "127.0.0.1:7379",
@@ -134,6 +136,7 @@
         },
         {},
     )
+    return replace(told, subsets=None) if whole_lists else told
 
 
 def zone_name(number: int) -> str:
@@ -165,6 +168,6 @@
     return page_bytes([entry(one, zones) for one in range(servers)], True)
 
 
-def server_facts(servers: int, zones: int) -> list[ServerFacts]:
-    """The app servers as the decisions are told of them."""
-    return [listed(entry(one, zones)).facts for one in range(servers)]
+def server_list(servers: int, zones: int) -> list[Listed]:
+    """The app servers as a node reads them in the list."""
+    return [listed(entry(one, zones)) for one in range(servers)]
--- a/merlintally/lab/schedules/subset_room.py
+++ b/merlintally/lab/schedules/subset_room.py
@@ -16,7 +16,7 @@
 
 from merlintally.choice import Gateway, Submission
 from merlintally.interface import LaneFacts, PlanFacts, ServerFacts, StartFacts
-from merlintally.net.keeper import waits_for_place
+from merlintally.net.roster import waits_for_place
 from merlintally.subsets import USUAL, Entry, Subset, Terms
 from merlintally.subsets.records import Listing
 
--- a/merlintally/net/keeper.py
+++ b/merlintally/net/keeper.py
@@ -8,20 +8,19 @@
 from dataclasses import replace
 from typing import Any
 
-from merlintally.choice import SATURATED, Gateway
-from merlintally.interface import CounterOutcome, Outcome
+from merlintally.choice import Gateway
+from merlintally.interface import CounterOutcome
 from merlintally.net.configuration import Deployment, Listed
 from merlintally.net.counter import Counter
 from merlintally.net.log import Log
 from merlintally.net.post import Noting, Post, Right
+from merlintally.net.roster import Roster, subset_of
 from merlintally.net.servers import Fleet
 from merlintally.net.sockets import Buffer
 from merlintally.net.taken import Answer, Execution, Taken
 from merlintally.net.timers import Clock, Timers
-from merlintally.subsets import Listing, Subset
+from merlintally.subsets import Listing
 
-ANSWERED: tuple[Outcome, ...] = ("ok", "error", "full")
-UNANSWERED: tuple[Outcome, ...] = ("timed_out", "unreachable", "broken")
 GIVEN_UP: list[Buffer] = [b"-ERR given up\r\n"]
 BUSY: list[Buffer] = [b"-BUSY\r\n"]
 SAME_ID: list[Buffer] = [b"-ERR the id is that of an open submission\r\n"]
@@ -33,24 +32,6 @@
     return "bounced" if head == b"-BUSY" else "given up" if head[:1] == b"-" else "delivered"
 
 
-def subset_of(deployment: Deployment) -> Subset | None:
-    """This node's subset; None where it is off, or the settings give the node no number among the others."""
-    facts = deployment.facts
-    if deployment.subsets is None or facts.number >= facts.gateways:
-        return None
-    return Subset(facts.number, facts.gateways, deployment.subsets)
-
-
-def waits_for_place(gateway: Gateway, now: float) -> bool:
-    """Whether work waits though this node's servers answer easily: more of them have more places. Guards
-    against subsets that grow for nothing: where the whole fleet is too slow, and for work that waits only
-    since its customer has as much out as it may."""
-    if gateway.strain >= SATURATED or not any(gateway.lines.values()):
-        return False
-    full = gateway.allowed(now) - gateway.out < 0.5
-    return full or not any(server.has_place(now) for server in gateway.servers.values())
-
-
 class Keeper:
     """Turns what comes through the queue into calls on the decisions, and carries out what they want done.
 
@@ -61,6 +42,7 @@
         self.clock, self.log, self.most_open = clock, log, deployment.most_open
         self.gateway = Gateway(deployment.facts, deployment.seed, clock.now())
         self.subset, self.subset_level = subset_of(deployment), 0  # as last told in the log
+        self.roster = Roster(self.subset, self.gateway, self._tell_roster)
         self.fleet: Fleet
         self.timers: Timers
         self.counter: Counter | None = None
@@ -180,8 +162,9 @@
                 answer.actual,
                 answer.report,
             )
-            if server is not None:
-                self._judged(server.name, execution, answer.outcome)
+            # Guards against attempts that this node held back itself: they say nothing of the server.
+            if server is not None and execution.link is not None:
+                self.roster.ended(self.clock.now(), server.name, answer.outcome)
         self._forget(taken)
 
     def expired(self, execution: Execution) -> None:
@@ -200,55 +183,32 @@
                 else:
                     self.shown[entry.facts.server] = entry
             entries = [self._as_agreed(entry) for entry in entries]
-        self._take_list(entries, complete)
+        self.roster.listed(self.clock.now(), entries, complete)
 
     def take_out(self, servers: frozenset[str]) -> None:
         """These app servers, and no others, are out for work: to them nothing new is sent."""
         assert self.shown is not None, "nothing was kept of what is listed"
         changed, self.out = self.out ^ servers, servers
         if entries := [self._as_agreed(self.shown[name]) for name in sorted(changed) if name in self.shown]:
-            self._take_list(entries, False)
-
-    def _take_list(self, entries: Sequence[Listing], complete: bool) -> None:
-        """Tell of a list, or its changes, what concerns this node's subset."""
-        if self.subset is not None:
-            entries, complete = self.subset.listed(self.clock.now(), entries, complete)
-        if entries or complete:
-            self._tell_roster(entries, complete)
+            self.roster.listed(self.clock.now(), entries, False)
 
     def _tell_roster(self, entries: Sequence[Listing], complete: bool) -> None:
-        """What has left the subset is told as gone: its attempts end, and it gets nothing more."""
-        if self.subset is not None:
-            self._follow_subset(self.subset)
+        """Tell of a list, or its changes, that concern this node's subset."""
+        self._log_subset()
         self.fleet.roster(entries, complete)
         self.gateway.roster(self.clock.now(), [entry.facts for entry in entries], complete)
 
-    def _follow_subset(self, subset: Subset) -> None:
-        if subset.sharing != self.gateway.sharing:
-            self.gateway.share(subset.sharing)
-        if subset.bounded and subset.level != self.subset_level:
+    def _log_subset(self) -> None:
+        subset = self.subset
+        if subset is not None and subset.bounded and subset.level != self.subset_level:
             self.subset_level = subset.level
             size, listed = subset.size, len(subset.rows)
             self.log.say(
                 f"works with {size} of {listed} app servers", "subset.changed", servers=size, listed=listed
             )
 
-    def _judged(self, server: str, execution: Execution, outcome: Outcome) -> None:
-        """An attempt has ended: a server that leaves several without an answer counts as failing. Guards
-        against attempts that this node held back itself, which say nothing of the server."""
-        if self.subset is None or execution.link is None or outcome not in ANSWERED + UNANSWERED:
-            return
-        if self.subset.reported(self.clock.now(), server, outcome in ANSWERED):
-            self._tell_roster(self.subset.members(), True)
-
     def _fit_subset(self) -> None:
-        """Grow the subset while work waits for places in it; shrink it once a smaller one has been enough."""
-        if self.subset is None or not self.subset.bounded:
-            return
-        now = self.clock.now()
-        pressed = self.subset.pressed(now, waits_for_place(self.gateway, now))
-        if self.subset.wake(now) or pressed:
-            self._tell_roster(self.subset.members(), True)
+        self.roster.fit(self.clock.now())
 
     def _as_agreed(self, entry: Listed) -> Listed:
         """Discovery knows nothing of work: what it lists as on drains while it is out."""
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -28,12 +28,15 @@
     slopes_tenants,
 )
 from merlintally.lab.scale.capacity import CHECKOUT_FILE, Capacity, read_capacity
+from merlintally.lab.scale.driver import SimulatedNode
 from merlintally.lab.scale.fit import best_fit, value_at
 from merlintally.lab.scale.point import PointFailed, measure_point
 from merlintally.lab.scale.receiver import most_links
 from merlintally.lab.scale.runner import Failure, run
 from merlintally.lab.scale.slope import Context, Costs, Derived, Point, Row, Slope, in_order, registry
-from merlintally.lab.scale.workload import deployment, tenants_of
+from merlintally.lab.scale.store import read_kept
+from merlintally.lab.scale.workload import deployment, server_list, tenants_of
+from merlintally.subsets import USUAL
 
 ROOT = Path(__file__).resolve().parents[1]
 CAPACITY = read_capacity()
@@ -238,7 +241,8 @@
     code, out = invoke("run", "--quick", "--json", "tiny")
     (row,) = json.loads(out)
     assert code == 3
-    assert set(row) == {"name", "role", "by", "points", "fit", "at_size", "budget", "holds"}
+    fields = {"name", "role", "by", "points", "fit", "at_size", "budget", "holds", "whole_lists"}
+    assert set(row) == fields and row["whole_lists"] is False
     assert [one["size"] for one in row["points"]] == [1, 2, 3, 4]
     code, _ = invoke("run", "--quick", "twice")  # goes by the row of the run before
     assert code == 0
@@ -249,6 +253,13 @@
     assert "broken" in out and "twice" in out
     page = (tmp_path / "found" / "scale-quick.html").read_text()
     assert page.count("<svg") == 2
+    code, out = invoke("run", "--quick", "--whole-lists", "--json", "tiny")
+    (row,) = json.loads(out)
+    assert code == 3 and row["whole_lists"] is True
+    assert set(json.loads((tmp_path / "found" / "scale-quick-whole-lists.json").read_text())["rows"]) == {
+        "tiny"
+    }
+    assert read_kept(tmp_path / "found" / "scale-quick.json").rows["tiny"].whole_lists is False
     with pytest.raises(Faults, match="did you mean tiny"):
         invoke("run", "tinny")
 
@@ -313,6 +324,34 @@
     assert slopes_connections.simulate(30, 30.0, TINY) == found  # simulated: the same for the same seed
 
 
+MANY = 3 * USUAL.whole_up_to  # app servers, of which a node works with a part
+
+
+def test_the_simulated_node_works_with_its_subset() -> None:
+    def node(whole_lists: bool) -> SimulatedNode:
+        made = SimulatedNode(deployment(20, whole_lists=whole_lists), seed=1)
+        made.listed(server_list(MANY, 7), True)
+        return made
+
+    subset, whole = node(False), node(True)
+    assert len(whole.gateway.servers) == MANY and whole.gateway.sharing == 20
+    before = list(subset.gateway.servers)
+    assert USUAL.least <= len(before) < MANY / 2 and subset.gateway.sharing < 20
+    for name in before[:-10]:  # the subset takes on others for those that don't answer
+        for _ in range(USUAL.unanswered):
+            subset.roster.ended(subset.now, name, "timed_out")
+    assert len(subset.gateway.servers) >= len(before) + USUAL.least - 10
+
+
+def test_with_whole_lists_a_node_knows_less_of_more_servers() -> None:
+    whole = replace(TINY, whole_lists=True)
+    assert (
+        slopes_connections.simulate(MANY, 30.0, TINY).known_share
+        > 2 * slopes_connections.simulate(MANY, 30.0, whole).known_share
+    )
+    assert slopes_lists.whole_memory(MANY, TINY)[0] < slopes_lists.whole_memory(MANY, whole)[0] / 2
+
+
 def test_a_node_alone_knows_its_tenants() -> None:
     alone = slopes_tenants.simulate(1, 50, False, False, TINY)
     assert alone.knowledge.error < 1e-6
--- a/tests/test_subsets.py
+++ b/tests/test_subsets.py
@@ -18,8 +18,9 @@
 from merlintally.lab.schedules.subsets import joined, play
 from merlintally.net import EdgeNode
 from merlintally.net.configuration import Listed
-from merlintally.net.keeper import Keeper, subset_of
+from merlintally.net.keeper import Keeper
 from merlintally.net.log import Log
+from merlintally.net.roster import subset_of
 from merlintally.net.timers import Clock
 from merlintally.operators import read_operators
 from merlintally.subsets import MISTAKES, USUAL, Descent, Entry, Subset, Terms, levels_of, start_level
