--- /dev/null
+++ b/merlintally/lab/scale/real_nodes.py
@@ -0,0 +1,124 @@
+"""Processes of a measurement on loopback: real edge nodes and the stand-in behind them. All are ended."""
+
+from __future__ import annotations
+
+import json
+import os
+import socket
+import subprocess
+import sys
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+from pathlib import Path
+
+import msgspec
+
+from merlintally.lab.scale.backend import HOST, Addresses, Record, Spec, list_page
+from merlintally.lab.scale.workload import settings_of
+
+ROOT = Path(__file__).resolve().parents[3]
+LEAVE_S = 6.0  # for a process to end when it is told to
+SOCKETS = 1024  # descriptors of an edge node
+
+
+def environment() -> dict[str, str]:
+    return {"PATH": os.environ.get("PATH", ""), "PYTHONPATH": str(ROOT)}
+
+
+def end(process: subprocess.Popen[bytes]) -> None:
+    """End a process, politely first."""
+    if process.poll() is None:
+        process.terminate()
+        try:
+            process.wait(LEAVE_S)
+        except subprocess.TimeoutExpired:
+            process.kill()
+    process.wait()
+    for pipe in (process.stdin, process.stdout):
+        if pipe is not None:
+            pipe.close()
+
+
+class Backend:
+    """The running stand-in (backend.py)."""
+
+    def __init__(self, process: subprocess.Popen[bytes], spec: Spec) -> None:
+        assert process.stdin is not None and process.stdout is not None
+        self.process, self.spec = process, spec
+        self._stdin, self._stdout = process.stdin, process.stdout
+        self._stdin.write(msgspec.json.encode(spec) + b"\n")
+        self._stdin.flush()
+        self.addresses = msgspec.json.decode(self._stdout.readline(), type=Addresses)
+
+    def stop(self) -> Record:
+        """End it; gives what it answered."""
+        self._stdin.close()
+        return msgspec.json.decode(self._stdout.readline(), type=Record)
+
+
+@contextmanager
+def running_backend(spec: Spec) -> Iterator[Backend]:
+    """A stand-in that runs until the block ends."""
+    process = subprocess.Popen(
+        [sys.executable, "-m", "merlintally.lab.scale.backend"],
+        env=environment(),
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+    )
+    try:
+        yield Backend(process, spec)
+    finally:
+        end(process)
+
+
+@dataclass(frozen=True)
+class RunningNode:
+    """One edge node process."""
+
+    process: subprocess.Popen[bytes]
+    port: int
+
+    def processor_s(self) -> float:
+        """Processor time that it has used (Linux: from /proc)."""
+        fields = Path(f"/proc/{self.process.pid}/stat").read_text().rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def free_port() -> int:
+    with socket.create_server((HOST, 0)) as listener:
+        port: int = listener.getsockname()[1]
+        return port
+
+
+def node_configuration(name: str, port: int, backend: Backend, nodes: int) -> dict[str, object]:
+    addresses = backend.addresses
+    return {
+        "name": name,
+        "listen": f"{HOST}:{port}",
+        "discovery": addresses.discovery,
+        "counter": addresses.counter,
+        "seed": "1",
+        "limits": {"sockets": SOCKETS},
+        "known": list_page(backend.spec, addresses.servers),
+        "settings": settings_of(nodes, counter=True, notes=False),
+    }
+
+
+@contextmanager
+def running_node(
+    folder: Path, name: str, backend: Backend, nodes: int, subsets: bool
+) -> Iterator[RunningNode]:
+    """A real edge node, one of `nodes`, that runs until the block ends; `subsets` of app servers or not."""
+    port = free_port()
+    configuration, operators = folder / f"{name}.json", folder / f"{name}.toml"
+    configuration.write_text(json.dumps(node_configuration(name, port, backend, nodes)))
+    operators.write_text(f"[subsets]\nenabled = {str(subsets).lower()}\n")
+    command = [sys.executable, "-m", "merlintally", "serve"]
+    command += ["--config", str(configuration), "--operators", str(operators)]
+    with (folder / f"{name}.log").open("wb") as log:
+        process = subprocess.Popen(command, env=environment(), stdout=subprocess.DEVNULL, stderr=log)
+        try:
+            yield RunningNode(process, port)
+        finally:
+            end(process)
--- /dev/null
+++ b/merlintally/lab/scale/slopes_added_latency.py
@@ -0,0 +1,377 @@
+"""What a real edge node adds to a request, on sockets: with subsets of app servers and without, side by side.
+
+Two node processes, alike but for their subsets, and one that stands in for app servers, discovery and the
+counter (backend.py); the load tool sends to both at the same time, in an open loop, and beside that straight
+to an app server: what is added there is the measurement's own. Added is the client's time from sending to
+the whole answer, less that of the app server from the whole request to its answer.
+
+Where app servers grow, the nodes that share them are stated in proportion, at the same load of each: else a
+node would hold requests back for a place. Other nodes draw nothing, and no notes come from them.
+"""
+
+from __future__ import annotations
+
+import gc
+import os
+import tempfile
+from collections.abc import Callable
+from contextlib import ExitStack
+from dataclasses import dataclass, field
+from functools import cache, partial
+from pathlib import Path
+
+import anyio
+
+from merlintally.forms import Faults
+from merlintally.lab.scale.backend import HOST, Record, Spec
+from merlintally.lab.scale.driver import ANSWER_S
+from merlintally.lab.scale.real_nodes import RunningNode, running_backend, running_node
+from merlintally.lab.scale.slope import Context, Slope
+from merlintally.lab.scale.slopes_decision import quantile
+from merlintally.lab.scale.workload import REQUEST_CLASS, SMALLEST_QUOTA, Tenant, plan_name, tenants_of
+from merlintally.load.profile import CustomerLoad, LaneLoad, Profile
+from merlintally.load.schedule import Planned
+from merlintally.load.sending import Sender, read_answer
+from merlintally.net.resp import array
+
+SUBSETS, WHOLE, DIRECT = "subsets", "whole", "direct"
+WARM_UP_S, QUICK_WARM_UP_S = 20.0, 4.0
+MEASURED_S, QUICK_MEASURED_S = 60.0, 12.0
+READY_S = 15.0  # for a node to answer
+WAIT_S = 4.0  # of a client
+PRIMING_CONNECTIONS = 32
+
+
+@dataclass
+class Sent:
+    """One request as its client saw it."""
+
+    request: str
+    due: float  # seconds after the load's begin
+    outcome: str
+    elapsed_s: float | None  # from sending; None: it never was
+
+
+@dataclass
+class Load:
+    """The requests sent to one target, and what that node used meanwhile."""
+
+    sent: list[Sent] = field(default_factory=list)
+    processor_s: float = 0.0
+    seconds: float = 1.0
+
+    def note(self, planned: Planned, outcome: str, elapsed_s: float | None) -> None:
+        self.sent.append(Sent(request_id(planned.command), planned.due, outcome, elapsed_s))
+
+
+@dataclass(frozen=True)
+class Added:
+    """What was added to the requests sent to one target, milliseconds, and what became of them."""
+
+    p50: float
+    p99: float
+    core_share: float
+    requests: int
+    delivered: int
+    repeated: int  # with more than one attempt
+
+
+@dataclass(frozen=True)
+class Measured:
+    """One run: by target, and the machine's load average over its last minute."""
+
+    added: dict[str, Added]
+    load_average: float
+
+
+def request_id(command: bytes) -> str:
+    """
+    >>> request_id(array(b"Q.ASK", b"customer", b"0001", b"c=lookup"))
+    '0001'
+    """
+    return command.split(b"\r\n")[6].decode()
+
+
+def profile_of(
+    tenants: list[Tenant], nodes: int, requests_per_s: float, seconds: float, seed: int
+) -> Profile:
+    """The load of one node: tenants grouped by plan, each group with its part of all requests."""
+    groups: dict[str, list[Tenant]] = {}
+    for tenant in tenants:
+        groups.setdefault(tenant.plan, []).append(tenant)
+    return Profile(
+        lane=(LaneLoad(name=REQUEST_CLASS, wait_s=WAIT_S),),
+        customers=tuple(
+            CustomerLoad(
+                plan=plan,
+                count=len(group),
+                share=sum(one.requests_per_s for one in group),
+                spread=nodes,
+            )
+            for plan, group in groups.items()
+        ),
+        rate=requests_per_s,
+        seconds=seconds,
+        seed=seed,
+    )
+
+
+def added_of(load: Load, record: Record, warm_up_s: float) -> Added:
+    """Hold what clients saw against the app servers' own time."""
+    own: dict[str, float] = {}
+    attempts: dict[str, int] = {}
+    for one in record.attempts:
+        own.setdefault(one.request, one.answered - one.received)  # the first answer counts
+        attempts[one.request] = attempts.get(one.request, 0) + 1
+    measured = [one for one in load.sent if one.due >= warm_up_s]
+    added = sorted(
+        1000 * (one.elapsed_s - own[one.request])
+        for one in measured
+        if one.outcome == "delivered" and one.elapsed_s is not None
+    )
+    if not added:
+        raise RuntimeError(f"none of {len(measured)} requests was answered")
+    return Added(
+        p50=quantile(added, 0.5),
+        p99=quantile(added, 0.99),
+        core_share=load.processor_s / load.seconds,
+        requests=len(measured),
+        delivered=len(added),
+        repeated=sum(attempts.get(one.request, 0) > 1 for one in measured),
+    )
+
+
+async def await_ready(sender: Sender) -> None:
+    """Wait until a node answers; Faults if it does not in time."""
+    ends = anyio.current_time() + READY_S
+    while True:
+        try:
+            return await sender.ping()
+        except Faults:
+            if anyio.current_time() > ends:
+                raise
+            await anyio.sleep(0.05)
+
+
+async def prime(port: int, known: int, nodes: int) -> None:
+    """Have a node know tenants that are seldom seen: each used a part of its quota, in one request."""
+    waiting = iter(range(known))
+
+    async def requests() -> None:
+        async with await anyio.connect_tcp(HOST, port) as stream:
+            for number in waiting:
+                terms = (
+                    f"c={REQUEST_CLASS},t={plan_name(SMALLEST_QUOTA)},d=4000,units=1,spread={nodes},first=0"
+                )
+                key, request = b"seldom-%05d" % number, b"%016x" % (number + 1)
+                await stream.send(array(b"Q.ASK", key, request, terms.encode()))
+                await read_answer(stream, b"")
+
+    async with anyio.create_task_group() as group:
+        for _ in range(min(known, PRIMING_CONNECTIONS)):
+            group.start_soon(requests)
+
+
+async def use_while(node: RunningNode | None, load: Load, warm_up_s: float, seconds: float) -> None:
+    """Note the processor time of a node in the measured part."""
+    if node is None:
+        return
+    await anyio.sleep(warm_up_s)
+    before = node.processor_s()
+    await anyio.sleep(seconds)
+    load.processor_s, load.seconds = node.processor_s() - before, seconds
+
+
+@dataclass(frozen=True)
+class Plan:
+    """How long to measure, and by what load."""
+
+    context: Context
+    warm_up_s: float
+    seconds: float
+    nodes: int  # that share the app servers, as the node is told
+    known: int = 0  # tenants that the nodes know beside those of the load
+
+    def profile(self, number: int) -> Profile:
+        capacity, context = self.context.capacity, self.context
+        tenants = tenants_of(capacity.size.tenants, capacity.size.requests_per_s)
+        seconds, seed = self.warm_up_s + self.seconds, 10 * context.seed + number
+        return profile_of(tenants, self.nodes, capacity.node_requests_per_s, seconds, seed)
+
+
+async def send_all(plan: Plan, targets: dict[str, tuple[str, int, RunningNode | None]]) -> dict[str, Load]:
+    """Send to all targets at the same time."""
+    loads = {name: Load() for name in targets}
+    senders = [
+        Sender(host, port, plan.profile(number), told=loads[name].note)
+        for number, (name, (host, port, _)) in enumerate(targets.items())
+    ]
+    for sender in senders:
+        await await_ready(sender)
+    if plan.known:
+        for _, port, node in targets.values():
+            if node is not None:
+                await prime(port, plan.known, plan.nodes)
+    async with anyio.create_task_group() as group:
+        for sender in senders:
+            group.start_soon(sender.run)
+        for name, (_, _, node) in targets.items():
+            group.start_soon(use_while, node, loads[name], plan.warm_up_s, plan.seconds)
+    return loads
+
+
+def measure(servers: int, plan: Plan, kinds: tuple[str, ...]) -> Measured:
+    """Run nodes of these kinds side by side before so many app servers."""
+    size = plan.context.capacity.size
+    spec = Spec(servers, size.zones, ANSWER_S, seed=plan.context.seed)
+    with ExitStack() as stack:
+        folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
+        backend = stack.enter_context(running_backend(spec))
+        host, _, port = backend.addresses.servers[0].partition(":")
+        targets: dict[str, tuple[str, int, RunningNode | None]] = {DIRECT: (host, int(port), None)}
+        for kind in kinds:
+            node = stack.enter_context(running_node(folder, kind, backend, plan.nodes, kind == SUBSETS))
+            targets[kind] = HOST, node.port, node
+        gc.collect()
+        gc.freeze()
+        gc.disable()  # a collection here would count as a node's time
+        try:
+            loads = anyio.run(partial(send_all, plan, targets))
+        finally:
+            gc.enable()
+        load_average = os.getloadavg()[0]
+        record = backend.stop()
+    added = {name: added_of(load, record, plan.warm_up_s) for name, load in loads.items()}
+    return Measured(added, load_average)
+
+
+def nodes_before(servers: int, context: Context) -> int:
+    """Nodes in proportion to the app servers."""
+    size = context.capacity.size
+    return max(1, round(size.edge_nodes * servers / size.app_servers))
+
+
+def plan_of(servers: int, context: Context, known: int = 0) -> Plan:
+    nodes = nodes_before(servers, context)
+    if context.quick:
+        return Plan(context, QUICK_WARM_UP_S, QUICK_MEASURED_S, nodes, known)
+    return Plan(context, WARM_UP_S, MEASURED_S, nodes, known)
+
+
+@cache
+def by_servers(servers: int, context: Context) -> Measured:
+    """Both kinds, all tenants, so many app servers."""
+    return measure(servers, plan_of(servers, context), (SUBSETS, WHOLE))
+
+
+@cache
+def by_tenants(known: int, context: Context) -> Measured:
+    """With subsets, all app servers, and so many tenants known beside those of the requests."""
+    servers = context.capacity.size.app_servers
+    return measure(servers, plan_of(servers, context, known), (SUBSETS,))
+
+
+def servers_subsets_p50(size: int, context: Context) -> float:
+    return by_servers(size, context).added[SUBSETS].p50
+
+
+def servers_subsets_p99(size: int, context: Context) -> float:
+    return by_servers(size, context).added[SUBSETS].p99
+
+
+def servers_subsets_core(size: int, context: Context) -> float:
+    return by_servers(size, context).added[SUBSETS].core_share
+
+
+def servers_whole_p50(size: int, context: Context) -> float:
+    return by_servers(size, context).added[WHOLE].p50
+
+
+def servers_whole_p99(size: int, context: Context) -> float:
+    return by_servers(size, context).added[WHOLE].p99
+
+
+def servers_whole_core(size: int, context: Context) -> float:
+    return by_servers(size, context).added[WHOLE].core_share
+
+
+def servers_direct_p50(size: int, context: Context) -> float:
+    return by_servers(size, context).added[DIRECT].p50
+
+
+def servers_direct_p99(size: int, context: Context) -> float:
+    return by_servers(size, context).added[DIRECT].p99
+
+
+def servers_load_average(size: int, context: Context) -> float:
+    return by_servers(size, context).load_average
+
+
+def tenants_p50(size: int, context: Context) -> float:
+    return by_tenants(size, context).added[SUBSETS].p50
+
+
+def tenants_p99(size: int, context: Context) -> float:
+    return by_tenants(size, context).added[SUBSETS].p99
+
+
+def tenants_core(size: int, context: Context) -> float:
+    return by_tenants(size, context).added[SUBSETS].core_share
+
+
+def tenants_direct_p99(size: int, context: Context) -> float:
+    return by_tenants(size, context).added[DIRECT].p99
+
+
+def tenants_load_average(size: int, context: Context) -> float:
+    return by_tenants(size, context).load_average
+
+
+SERVERS = (200, 1000, 3000, 9200)
+TENANTS = (200, 1000, 5000, 15000)
+LATENCY = "added_latency_p99_ms"
+Figure = tuple[str, str, Callable[[int, Context], float], str | None, str]
+
+
+def slopes_of(by: str, of: str, sizes: tuple[int, ...], key: str, figures: tuple[Figure, ...]) -> list[Slope]:
+    """The rows of one group of runs."""
+    return [
+        Slope(
+            name=f"added-latency.{name}.by-{by}",
+            role="edge node",
+            by=of,
+            unit=unit,
+            sizes=sizes,
+            quick_sizes=sizes,
+            measure=measured,
+            size_key=key,
+            budget=budget,
+            about=about,
+            group=f"added latency by {by}",
+        )
+        for name, unit, measured, budget, about in figures
+    ]
+
+
+BY_SERVERS: tuple[Figure, ...] = (
+    ("subsets-p50", "ms", servers_subsets_p50, None, "real node with subsets adds to a request, median"),
+    ("subsets-p99", "ms", servers_subsets_p99, LATENCY, "real node with subsets adds, 99 in 100"),
+    ("subsets-core", "core", servers_subsets_core, None, "real node with subsets, all its processor time"),
+    ("whole-p50", "ms", servers_whole_p50, None, "real node without subsets adds to a request, median"),
+    ("whole-p99", "ms", servers_whole_p99, LATENCY, "real node without subsets adds, 99 in 100"),
+    ("whole-core", "core", servers_whole_core, None, "real node without subsets, all its processor time"),
+    ("direct-p50", "ms", servers_direct_p50, None, "the measurement's own, without a node, median"),
+    ("direct-p99", "ms", servers_direct_p99, None, "the measurement's own, without a node, 99 in 100"),
+    ("load-average", "processes", servers_load_average, None, "the machine's load average at the run's end"),
+)
+BY_TENANTS: tuple[Figure, ...] = (
+    ("subsets-p50", "ms", tenants_p50, None, "real node with subsets adds to a request, median"),
+    ("subsets-p99", "ms", tenants_p99, LATENCY, "real node with subsets adds, 99 in 100"),
+    ("subsets-core", "core", tenants_core, None, "real node with subsets, all its processor time"),
+    ("direct-p99", "ms", tenants_direct_p99, None, "the measurement's own, without a node, 99 in 100"),
+    ("load-average", "processes", tenants_load_average, None, "the machine's load average at the run's end"),
+)
+SLOPES = (
+    *slopes_of("servers", "app servers", SERVERS, "app_servers", BY_SERVERS),
+    *slopes_of("tenants", "tenants known", TENANTS, "tenants", BY_TENANTS),
+)
--- a/merlintally/load/sending.py
+++ b/merlintally/load/sending.py
@@ -132,9 +132,16 @@
     connections are busy it waits for one, and that wait counts into its latency."""
 
     def __init__(
-        self, host: str, port: int, profile: Profile, progress: Callable[[int], None] | None = None
+        self,
+        host: str,
+        port: int,
+        profile: Profile,
+        progress: Callable[[int], None] | None = None,
+        told: Callable[[Planned, str, float | None], None] | None = None,
     ) -> None:
+        """`told` is called for each submission with its outcome and the seconds from sending, if it was."""
         self.host, self.port, self.profile, self.progress = host, port, profile, progress
+        self.told = told
         self.tallies = Tallies()
 
     async def ping(self) -> None:
@@ -208,6 +215,9 @@
 
     def _tell(self, planned: Planned, outcome: str, sent: float | None) -> None:
         now = time.monotonic()
-        self.tallies.add(planned.lane, outcome, now - self.began - planned.due, now - sent if sent else None)
+        service = now - sent if sent else None
+        self.tallies.add(planned.lane, outcome, now - self.began - planned.due, service)
+        if self.told is not None:
+            self.told(planned, outcome, service)
         if self.progress is not None:
             self.progress(1)
