--- a/merlintally/lab/scale/real_nodes.py
+++ b/merlintally/lab/scale/real_nodes.py
@@ -1,4 +1,4 @@
-"""Processes of a measurement on loopback: real edge nodes and the stand-in behind them. All are ended."""
+"""Processes of a measurement on loopback: clients, real edge nodes and the stand-in behind. All are ended."""
 
 from __future__ import annotations
 
@@ -15,6 +15,7 @@
 import msgspec
 
 from merlintally.lab.scale.backend import HOST, Addresses, Record, Spec, list_page
+from merlintally.lab.scale.client import Sent, Task
 from merlintally.lab.scale.workload import settings_of
 
 ROOT = Path(__file__).resolve().parents[3]
@@ -40,38 +41,79 @@
             pipe.close()
 
 
-class Backend:
-    """The running stand-in (backend.py)."""
+class Talker:
+    """A process that is told and tells in lines of JSON."""
 
-    def __init__(self, process: subprocess.Popen[bytes], spec: Spec) -> None:
+    def __init__(self, process: subprocess.Popen[bytes], first: Spec | Task) -> None:
         assert process.stdin is not None and process.stdout is not None
-        self.process, self.spec = process, spec
         self._stdin, self._stdout = process.stdin, process.stdout
-        self._stdin.write(msgspec.json.encode(spec) + b"\n")
+        self._tell(msgspec.json.encode(first))
+
+    def _tell(self, line: bytes) -> None:
+        self._stdin.write(line + b"\n")
         self._stdin.flush()
-        self.addresses = msgspec.json.decode(self._stdout.readline(), type=Addresses)
+
+    def _hear(self) -> bytes:
+        line = self._stdout.readline()
+        if not line:
+            raise RuntimeError("a process of the measurement ended without a result")
+        return line
+
+
+class Backend(Talker):
+    """The running stand-in (backend.py)."""
+
+    def __init__(self, process: subprocess.Popen[bytes], spec: Spec) -> None:
+        super().__init__(process, spec)
+        self.spec = spec
+        self.addresses = msgspec.json.decode(self._hear(), type=Addresses)
 
     def stop(self) -> Record:
         """End it; gives what it answered."""
         self._stdin.close()
-        return msgspec.json.decode(self._stdout.readline(), type=Record)
+        return msgspec.json.decode(self._hear(), type=Record)
+
+
+class Client(Talker):
+    """A running client (client.py)."""
+
+    def await_ready(self) -> None:
+        """Wait until its target answers."""
+        self._hear()
+
+    def begin(self) -> None:
+        self._tell(b"")
+
+    def result(self) -> list[Sent]:
+        """Wait for its end; gives what it sent."""
+        return msgspec.json.decode(self._hear(), type=list[Sent])
 
 
 @contextmanager
-def running_backend(spec: Spec) -> Iterator[Backend]:
-    """A stand-in that runs until the block ends."""
-    process = subprocess.Popen(
-        [sys.executable, "-m", "merlintally.lab.scale.backend"],
-        env=environment(),
-        stdin=subprocess.PIPE,
-        stdout=subprocess.PIPE,
-    )
+def running(module: str) -> Iterator[subprocess.Popen[bytes]]:
+    """A process of a module of this package that runs until the block ends."""
+    command = [sys.executable, "-m", f"{__package__}.{module}"]
+    process = subprocess.Popen(command, env=environment(), stdin=subprocess.PIPE, stdout=subprocess.PIPE)
     try:
-        yield Backend(process, spec)
+        yield process
     finally:
         end(process)
 
 
+@contextmanager
+def running_backend(spec: Spec) -> Iterator[Backend]:
+    """A stand-in that runs until the block ends."""
+    with running("backend") as process:
+        yield Backend(process, spec)
+
+
+@contextmanager
+def running_client(task: Task) -> Iterator[Client]:
+    """A client that runs until the block ends."""
+    with running("client") as process:
+        yield Client(process, task)
+
+
 @dataclass(frozen=True)
 class RunningNode:
     """One edge node process."""
--- a/merlintally/lab/scale/slopes_added_latency.py
+++ b/merlintally/lab/scale/slopes_added_latency.py
@@ -1,9 +1,10 @@
 """What a real edge node adds to a request, on sockets: with subsets of app servers and without, side by side.
 
 Two node processes, alike but for their subsets, and one that stands in for app servers, discovery and the
-counter (backend.py); the load tool sends to both at the same time, in an open loop, and beside that straight
-to an app server: what is added there is the measurement's own. Added is the client's time from sending to
-the whole answer, less that of the app server from the whole request to its answer.
+counter (backend.py). The load tool sends to both at the same time, in an open loop, and beside that straight
+to an app server, each from a process of its own (client.py). Added is the client's time from sending to the
+whole answer, less that of the app server from the whole request to its answer; what is added to requests
+that go straight there (`direct`) is the measurement's own, and in the other figures, too.
 
 Where app servers grow, the nodes that share them are stated in proportion, at the same load of each: else a
 node would hold requests back for a place. Other nodes draw nothing, and no notes come from them.
@@ -11,57 +12,45 @@
 
 from __future__ import annotations
 
-import gc
 import os
 import tempfile
+import time
 from collections.abc import Callable
 from contextlib import ExitStack
-from dataclasses import dataclass, field
-from functools import cache, partial
+from dataclasses import dataclass
+from functools import cache
 from pathlib import Path
 
-import anyio
-
-from merlintally.forms import Faults
 from merlintally.lab.scale.backend import HOST, Record, Spec
+from merlintally.lab.scale.client import Sent, Task
 from merlintally.lab.scale.driver import ANSWER_S
-from merlintally.lab.scale.real_nodes import RunningNode, running_backend, running_node
+from merlintally.lab.scale.real_nodes import RunningNode, running_backend, running_client, running_node
 from merlintally.lab.scale.slope import Context, Slope
 from merlintally.lab.scale.slopes_decision import quantile
-from merlintally.lab.scale.workload import REQUEST_CLASS, SMALLEST_QUOTA, Tenant, plan_name, tenants_of
+from merlintally.lab.scale.workload import REQUEST_CLASS, Tenant, tenants_of
 from merlintally.load.profile import CustomerLoad, LaneLoad, Profile
-from merlintally.load.schedule import Planned
-from merlintally.load.sending import Sender, read_answer
-from merlintally.net.resp import array
 
 SUBSETS, WHOLE, DIRECT = "subsets", "whole", "direct"
 WARM_UP_S, QUICK_WARM_UP_S = 20.0, 4.0
 MEASURED_S, QUICK_MEASURED_S = 60.0, 12.0
-READY_S = 15.0  # for a node to answer
 WAIT_S = 4.0  # of a client
-PRIMING_CONNECTIONS = 32
 
 
-@dataclass
-class Sent:
-    """One request as its client saw it."""
+@dataclass(frozen=True)
+class Target:
+    """Where one of the loads goes."""
 
-    request: str
-    due: float  # seconds after the load's begin
-    outcome: str
-    elapsed_s: float | None  # from sending; None: it never was
+    host: str
+    port: int
+    node: RunningNode | None  # None: to an app server
 
 
-@dataclass
+@dataclass(frozen=True)
 class Load:
-    """The requests sent to one target, and what that node used meanwhile."""
+    """The requests sent to one target, and the part of a core that the node used meanwhile."""
 
-    sent: list[Sent] = field(default_factory=list)
-    processor_s: float = 0.0
-    seconds: float = 1.0
-
-    def note(self, planned: Planned, outcome: str, elapsed_s: float | None) -> None:
-        self.sent.append(Sent(request_id(planned.command), planned.due, outcome, elapsed_s))
+    sent: list[Sent]
+    core_share: float
 
 
 @dataclass(frozen=True)
@@ -84,14 +73,6 @@
     load_average: float
 
 
-def request_id(command: bytes) -> str:
-    """
-    >>> request_id(array(b"Q.ASK", b"customer", b"0001", b"c=lookup"))
-    '0001'
-    """
-    return command.split(b"\r\n")[6].decode()
-
-
 def profile_of(
     tenants: list[Tenant], nodes: int, requests_per_s: float, seconds: float, seed: int
 ) -> Profile:
@@ -134,54 +115,13 @@
     return Added(
         p50=quantile(added, 0.5),
         p99=quantile(added, 0.99),
-        core_share=load.processor_s / load.seconds,
+        core_share=load.core_share,
         requests=len(measured),
         delivered=len(added),
         repeated=sum(attempts.get(one.request, 0) > 1 for one in measured),
     )
 
 
-async def await_ready(sender: Sender) -> None:
-    """Wait until a node answers; Faults if it does not in time."""
-    ends = anyio.current_time() + READY_S
-    while True:
-        try:
-            return await sender.ping()
-        except Faults:
-            if anyio.current_time() > ends:
-                raise
-            await anyio.sleep(0.05)
-
-
-async def prime(port: int, known: int, nodes: int) -> None:
-    """Have a node know tenants that are seldom seen: each used a part of its quota, in one request."""
-    waiting = iter(range(known))
-
-    async def requests() -> None:
-        async with await anyio.connect_tcp(HOST, port) as stream:
-            for number in waiting:
-                terms = (
-                    f"c={REQUEST_CLASS},t={plan_name(SMALLEST_QUOTA)},d=4000,units=1,spread={nodes},first=0"
-                )
-                key, request = b"seldom-%05d" % number, b"%016x" % (number + 1)
-                await stream.send(array(b"Q.ASK", key, request, terms.encode()))
-                await read_answer(stream, b"")
-
-    async with anyio.create_task_group() as group:
-        for _ in range(min(known, PRIMING_CONNECTIONS)):
-            group.start_soon(requests)
-
-
-async def use_while(node: RunningNode | None, load: Load, warm_up_s: float, seconds: float) -> None:
-    """Note the processor time of a node in the measured part."""
-    if node is None:
-        return
-    await anyio.sleep(warm_up_s)
-    before = node.processor_s()
-    await anyio.sleep(seconds)
-    load.processor_s, load.seconds = node.processor_s() - before, seconds
-
-
 @dataclass(frozen=True)
 class Plan:
     """How long to measure, and by what load."""
@@ -190,55 +130,58 @@
     warm_up_s: float
     seconds: float
     nodes: int  # that share the app servers, as the node is told
-    known: int = 0  # tenants that the nodes know beside those of the load
+    known: int = 0  # tenants that the node knows beside those of the load
 
-    def profile(self, number: int) -> Profile:
-        capacity, context = self.context.capacity, self.context
+    def task(self, number: int, target: Target) -> Task:
+        """The load of one target; seeds differ, so that requests do."""
+        capacity = self.context.capacity
         tenants = tenants_of(capacity.size.tenants, capacity.size.requests_per_s)
-        seconds, seed = self.warm_up_s + self.seconds, 10 * context.seed + number
-        return profile_of(tenants, self.nodes, capacity.node_requests_per_s, seconds, seed)
+        seconds, seed = self.warm_up_s + self.seconds, 10 * self.context.seed + number
+        profile = profile_of(tenants, self.nodes, capacity.node_requests_per_s, seconds, seed)
+        known = self.known if target.node is not None else 0
+        return Task(target.host, target.port, profile, self.nodes, known)
 
 
-async def send_all(plan: Plan, targets: dict[str, tuple[str, int, RunningNode | None]]) -> dict[str, Load]:
+def send_all(plan: Plan, targets: dict[str, Target]) -> dict[str, Load]:
     """Send to all targets at the same time."""
-    loads = {name: Load() for name in targets}
-    senders = [
-        Sender(host, port, plan.profile(number), told=loads[name].note)
-        for number, (name, (host, port, _)) in enumerate(targets.items())
-    ]
-    for sender in senders:
-        await await_ready(sender)
-    if plan.known:
-        for _, port, node in targets.values():
-            if node is not None:
-                await prime(port, plan.known, plan.nodes)
-    async with anyio.create_task_group() as group:
-        for sender in senders:
-            group.start_soon(sender.run)
-        for name, (_, _, node) in targets.items():
-            group.start_soon(use_while, node, loads[name], plan.warm_up_s, plan.seconds)
-    return loads
+    with ExitStack() as stack:
+        clients = {
+            name: stack.enter_context(running_client(plan.task(number, target)))
+            for number, (name, target) in enumerate(targets.items())
+        }
+        for client in clients.values():
+            client.await_ready()
+        for client in clients.values():
+            client.begin()
+        time.sleep(plan.warm_up_s)
+        before = processor_s(targets)
+        time.sleep(plan.seconds)
+        after = processor_s(targets)
+        return {
+            name: Load(client.result(), (after[name] - before[name]) / plan.seconds)
+            for name, client in clients.items()
+        }
+
+
+def processor_s(targets: dict[str, Target]) -> dict[str, float]:
+    return {
+        name: target.node.processor_s() if target.node is not None else 0.0
+        for name, target in targets.items()
+    }
 
 
 def measure(servers: int, plan: Plan, kinds: tuple[str, ...]) -> Measured:
     """Run nodes of these kinds side by side before so many app servers."""
-    size = plan.context.capacity.size
-    spec = Spec(servers, size.zones, ANSWER_S, seed=plan.context.seed)
+    spec = Spec(servers, plan.context.capacity.size.zones, ANSWER_S, seed=plan.context.seed)
     with ExitStack() as stack:
         folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
         backend = stack.enter_context(running_backend(spec))
         host, _, port = backend.addresses.servers[0].partition(":")
-        targets: dict[str, tuple[str, int, RunningNode | None]] = {DIRECT: (host, int(port), None)}
+        targets = {DIRECT: Target(host, int(port), None)}
         for kind in kinds:
             node = stack.enter_context(running_node(folder, kind, backend, plan.nodes, kind == SUBSETS))
-            targets[kind] = HOST, node.port, node
-        gc.collect()
-        gc.freeze()
-        gc.disable()  # a collection here would count as a node's time
-        try:
-            loads = anyio.run(partial(send_all, plan, targets))
-        finally:
-            gc.enable()
+            targets[kind] = Target(HOST, node.port, node)
+        loads = send_all(plan, targets)
         load_average = os.getloadavg()[0]
         record = backend.stop()
     added = {name: added_of(load, record, plan.warm_up_s) for name, load in loads.items()}
