--- a/merlintally/lab/scale/client.py
+++ b/merlintally/lab/scale/client.py
@@ -25,7 +25,7 @@
 
 READY_S = 15.0  # for a target to answer
 PRIMING_CONNECTIONS = 32
-FIRST_SELDOM = 0x5E1D << 32  # the keys of tenants made known before begin here; those of a profile at 1
+FIRST_SELDOM = 1 << 32  # the keys of tenants made known before begin here; those of a profile at 1
 LEAST_KNOWN = 0.5  # part of the requests that make tenants known which has to be delivered
 
 
