--- a/merlintally/lab/scale/backend.py
+++ b/merlintally/lab/scale/backend.py
@@ -53,6 +53,7 @@
     request: str
     received: float
     answered: float
+    handshake: bool = False  # whether it was the first on its connection
 
 
 class Record(Struct, frozen=True):
@@ -83,7 +84,7 @@
 
     def __init__(self, answer_s: float, random: Random, attempts: list[Attempt]) -> None:
         self.answer_s, self.random, self.attempts = answer_s, random, attempts
-        self.buffer = bytearray()
+        self.buffer, self.used = bytearray(), False
         self.transport: asyncio.Transport
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -104,17 +105,18 @@
             self.transport.write(b"+PONG\r\n")
         elif words[0] in (b"Q.ASK", b"Q.DO"):
             delay = self.answer_s * self.random.uniform(*SPREAD)
-            asyncio.get_running_loop().call_later(delay, self._answer, words[2], received)
+            first, self.used = not self.used, True
+            asyncio.get_running_loop().call_later(delay, self._answer, words[2], received, first)
         else:
             self.transport.write(b"+OK\r\n")
 
-    def _answer(self, request: bytes, received: float) -> None:
+    def _answer(self, request: bytes, received: float, first: bool) -> None:
         if self.transport.is_closing():
             return
         answer = b"*3\r\n" + bulk(request) + ANSWER_TAIL
         answered = time.monotonic()
         self.transport.write(answer)
-        self.attempts.append(Attempt(request.decode(), received, answered))
+        self.attempts.append(Attempt(request.decode(), received, answered, first))
 
 
 class CounterProtocol(asyncio.Protocol):
--- a/merlintally/lab/scale/slopes_added_latency.py
+++ b/merlintally/lab/scale/slopes_added_latency.py
@@ -21,7 +21,7 @@
 from functools import cache
 from pathlib import Path
 
-from merlintally.lab.scale.backend import HOST, Record, Spec
+from merlintally.lab.scale.backend import HOST, Attempt, Record, Spec
 from merlintally.lab.scale.client import Sent, Task
 from merlintally.lab.scale.driver import ANSWER_S
 from merlintally.lab.scale.real_nodes import RunningNode, running_backend, running_client, running_node
@@ -65,6 +65,9 @@
     requests: int
     delivered: int
     repeated: int  # with more than one attempt
+    handshake_share: float  # of the delivered: sent on a connection opened for it
+    handshake_p50: float  # added to these
+    reused_p50: float  # and to those sent on a connection that stood
 
 
 @dataclass(frozen=True)
@@ -101,29 +104,39 @@
 
 def added_of(load: Load, record: Record, warm_up_s: float) -> Added:
     """Hold what clients saw against the app servers' own time."""
-    own: dict[str, float] = {}
+    first: dict[str, Attempt] = {}
     attempts: dict[str, int] = {}
     for one in record.attempts:
-        own.setdefault(one.request, one.answered - one.received)  # the first answer counts
+        first.setdefault(one.request, one)  # the first answer counts
         attempts[one.request] = attempts.get(one.request, 0) + 1
     measured = [one for one in load.sent if one.due >= warm_up_s]
-    added = sorted(
-        1000 * (one.elapsed_s - own[one.request])
-        for one in measured
-        if one.outcome == "delivered" and one.elapsed_s is not None
-    )
-    if not added:
+    added: dict[bool, list[float]] = {True: [], False: []}  # by whether there was a handshake
+    for sent in measured:
+        if sent.outcome == "delivered" and sent.elapsed_s is not None:
+            attempt = first[sent.request]
+            own_s = attempt.answered - attempt.received
+            added[attempt.handshake].append(1000 * (sent.elapsed_s - own_s))
+    together = sorted(added[True] + added[False])
+    if not together:
         raise RuntimeError(f"none of {len(measured)} requests was answered")
     return Added(
-        p50=quantile(added, 0.5),
-        p99=quantile(added, 0.99),
+        p50=quantile(together, 0.5),
+        p99=quantile(together, 0.99),
         core_share=load.core_share,
         requests=len(measured),
-        delivered=len(added),
+        delivered=len(together),
         repeated=sum(attempts.get(one.request, 0) > 1 for one in measured),
+        handshake_share=len(added[True]) / len(together),
+        handshake_p50=middle(added[True]),
+        reused_p50=middle(added[False]),
     )
 
 
+def middle(values: list[float]) -> float:
+    """The median; 0 where there is none."""
+    return quantile(sorted(values), 0.5) if values else 0.0
+
+
 @dataclass(frozen=True)
 class Plan:
     """How long to measure, and by what load."""
@@ -242,6 +255,14 @@
     return by_servers(size, context).added[WHOLE].core_share
 
 
+def servers_subsets_handshakes(size: int, context: Context) -> float:
+    return by_servers(size, context).added[SUBSETS].handshake_share
+
+
+def servers_whole_handshakes(size: int, context: Context) -> float:
+    return by_servers(size, context).added[WHOLE].handshake_share
+
+
 def servers_direct_p50(size: int, context: Context) -> float:
     return by_servers(size, context).added[DIRECT].p50
 
@@ -310,9 +331,23 @@
     ("subsets-p50", "ms", servers_subsets_p50, None, "real node with subsets adds to a request, median"),
     ("subsets-p99", "ms", servers_subsets_p99, LATENCY, "real node with subsets adds, 99 in 100"),
     ("subsets-core", "core", servers_subsets_core, None, "real node with subsets, all its processor time"),
+    (
+        "subsets-handshakes",
+        "a request",
+        servers_subsets_handshakes,
+        None,
+        "real node with subsets, connections opened",
+    ),
     ("whole-p50", "ms", servers_whole_p50, None, "real node without subsets adds to a request, median"),
     ("whole-p99", "ms", servers_whole_p99, LATENCY, "real node without subsets adds, 99 in 100"),
     ("whole-core", "core", servers_whole_core, None, "real node without subsets, all its processor time"),
+    (
+        "whole-handshakes",
+        "a request",
+        servers_whole_handshakes,
+        None,
+        "real node without subsets, connections opened",
+    ),
     ("direct-p50", "ms", servers_direct_p50, None, "the measurement's own, without a node, median"),
     ("direct-p99", "ms", servers_direct_p99, None, "the measurement's own, without a node, 99 in 100"),
     ("load-average", "processes", servers_load_average, None, "the machine's load average at the run's end"),
--- a/tests/test_added_latency.py
+++ b/tests/test_added_latency.py
@@ -44,6 +44,7 @@
         assert 0 < one.p50 <= one.p99
         assert one.p50 > direct.p50  # a node on the way takes time
         assert 0 < one.core_share < 1
+        assert 0 < one.handshake_share < 1
     assert direct.delivered == direct.requests
 
 
@@ -69,10 +70,12 @@
         Sent("b", 1.1, "delivered", 0.090),
         Sent("c", 1.2, "bounced", 0.001),
     ]
-    attempts = [Attempt("a", 5.0, 5.05), Attempt("b", 6.0, 6.06), Attempt("b", 6.02, 6.09)]
+    attempts = [Attempt("a", 5.0, 5.05), Attempt("b", 6.0, 6.06, True), Attempt("b", 6.02, 6.09)]
     found = added_latency.added_of(added_latency.Load(sent, 0.1), Record(attempts), warm_up_s=1.0)
     assert (found.requests, found.delivered, found.repeated) == (3, 2, 1)
     assert found.p50 == pytest.approx(30.0)  # of 2 and 30
+    assert (found.handshake_share, found.handshake_p50) == (0.5, pytest.approx(30.0))
+    assert found.reused_p50 == pytest.approx(2.0)
 
 
 def test_a_load_without_an_answer_is_an_error() -> None:
