--- a/merlintally/cli/serving.py
+++ b/merlintally/cli/serving.py
@@ -9,7 +9,7 @@
 
 from merlintally.forms import Faults
 from merlintally.net.configuration import Deployment
-from merlintally.net.keeper import Keeper
+from merlintally.net.dispatcher import Dispatcher
 from merlintally.net.log import Log, Plain, Style
 from merlintally.net.node import EdgeNode, Part
 from merlintally.net.node import main as run_node
@@ -51,12 +51,12 @@
         log.record = Record(first.record.file, deployment.name, disk.start)
     made: list[ClusterNode] = []  # once: a part that begins again is the same start of the same node
 
-    async def run(node: EdgeNode, keeper: Keeper) -> None:
+    async def run(node: EdgeNode, dispatcher: Dispatcher) -> None:
         if not made:
             made.append(
                 ClusterNode(first.cluster, node.deployment.name, node.deployment.seed, disk, log, log.record)
             )
-        await made[0].run(node, keeper)
+        await made[0].run(node, dispatcher)
 
     parts.append(run)
     return log
--- a/merlintally/cli/working.py
+++ b/merlintally/cli/working.py
@@ -57,7 +57,7 @@
     """Agree on the list of machines in FILE (TOML, tables [[machine]]).
 
     Each has name, pool, zone, edges (names of its edge nodes), servers (of its app servers), bears
-    (executions a second, where known) and refuge (true: nodes that hear nothing go on sending there).
+    (attempts a second, where known) and refuge (true: nodes that hear nothing go on sending there).
     """
     found = read(load(file), Machines)
     try:
--- a/merlintally/cluster/core.py
+++ b/merlintally/cluster/core.py
@@ -66,7 +66,7 @@
 @dataclass(slots=True)
 class Local:
     """What the node itself sees, told before each wake: servers to which something is out, whether it has
-    answered all it took, servers that discovery does not list as on, executions a second by pool."""
+    answered all it took, servers that discovery does not list as on, attempts a second by pool."""
 
     busy: frozenset[str] = frozenset()
     idle: bool = True
--- a/merlintally/cluster/node.py
+++ b/merlintally/cluster/node.py
@@ -1,4 +1,4 @@
-"""A node's part in its cluster: one task owns the core; it reaches the decisions by the keeper's queue
+"""A node's part in its cluster: one task owns the core; it reaches the decisions by the dispatcher's queue
 alone."""
 
 from __future__ import annotations
@@ -27,7 +27,7 @@
 from merlintally.cluster.work.coordinator import Terms
 from merlintally.cluster.work.state import GRANTED, OUT, RETURNING, most
 from merlintally.net.configuration import Address, address
-from merlintally.net.keeper import Keeper
+from merlintally.net.dispatcher import Dispatcher
 from merlintally.net.log import Log
 from merlintally.net.node import EdgeNode
 from merlintally.net.phases import Phase
@@ -76,7 +76,7 @@
         self.plan = plan_of(part)
         self.routes = {name: address(where, f"cluster.routes.{name}") for name, where in part.routes.items()}
         self.queue = Post(QUEUE)
-        self.keeper: Keeper
+        self.dispatcher: Dispatcher
         self.links: Links
         self.disk_lock = Lock()
         self.rows: list[tuple[Any, ...]] = []  # to be written, and the number of the last
@@ -84,7 +84,7 @@
         self.unwritten = anyio.Event()
         self.wake_at, self.sleeping = 0.0, anyio.CancelScope()
         self.asking: dict[str, tuple[anyio.Event, list[tuple[bool, str]]]] = {}
-        self.sent: Counter[str] = Counter()  # executions by pool, in this stretch of time
+        self.sent: Counter[str] = Counter()  # attempts by pool, in this stretch of time
         self.sent_since, self.rates = time.monotonic(), dict[str, float]()
         self.out: dict[str, int] = {}  # machines that this node holds to be out -> turn
         self.done: set[int] = set()
@@ -116,12 +116,12 @@
 
     # Its tasks.
 
-    async def run(self, node: EdgeNode, keeper: Keeper) -> None:
+    async def run(self, node: EdgeNode, dispatcher: Dispatcher) -> None:
         """Stand beside a node until cancelled."""
-        self.keeper, keeper.right = keeper, self
-        if self.plan.copies is not None and keeper.peers is None:
-            keeper.peers = self
-        keeper.shown = {entry.facts.server: entry for entry in node.deployment.known}
+        self.dispatcher, dispatcher.right = dispatcher, self
+        if self.plan.copies is not None and dispatcher.peers is None:
+            dispatcher.peers = self
+        dispatcher.shown = {entry.facts.server: entry for entry in node.deployment.known}
         listen = address(self.part.listen, "cluster.listen")
         self.links = self.links_type(
             self.part.name,
@@ -185,7 +185,7 @@
         if now - self.sent_since > RATE_S:
             self.rates = {pool: count / (now - self.sent_since) for pool, count in self.sent.items()}
             self.sent, self.sent_since = Counter(), now
-        shown, fleet = self.keeper.shown or {}, self.keeper.fleet
+        shown, fleet = self.dispatcher.shown or {}, self.dispatcher.fleet
         servers = self.core.edge.machines
         turns = self.core.work.turns
         busy = frozenset(
@@ -197,7 +197,7 @@
             )
         )
         self._drawn(now)
-        self.core.local = Local(busy, not self.keeper.taken, off, self.rates)
+        self.core.local = Local(busy, not self.dispatcher.open_requests, off, self.rates)
         self.core.wake(now)
         careful = now >= self.core.edge.until + self.part.lease_s
         if careful != self.careful:
@@ -212,11 +212,11 @@
         while True:
             await self.to_tell.wait()
             self.to_tell = anyio.Event()
-            await self.keeper.post(self.keeper.take_out, self.core.edge.out())
+            await self.dispatcher.post(self.dispatcher.take_out, self.core.edge.out())
             while self.whole and (note := told(self.sums.values())):
-                await self.keeper.post(self.keeper.noted, FELLOWS, note)
+                await self.dispatcher.post(self.dispatcher.noted, FELLOWS, note)
             if self.whole:
-                await self.keeper.post(self.keeper.noted, FELLOWS, b"")
+                await self.dispatcher.post(self.dispatcher.noted, FELLOWS, b"")
 
     # Draws: to the copies, and what others drew to the decisions, as notes.
 
--- a/merlintally/cluster/record.py
+++ b/merlintally/cluster/record.py
@@ -44,7 +44,7 @@
 
 
 class RecordingLog(Log):
-    """A log that also hands steps of submissions to a record, whether they are wanted as lines or not."""
+    """A log that also hands steps of requests to a record, whether they are wanted as lines or not."""
 
     def __init__(
         self, name: str, per_second: float, stream: TextIO | None = None, style: Style | None = None
--- a/merlintally/lab/faults/check.py
+++ b/merlintally/lab/faults/check.py
@@ -55,7 +55,7 @@
 
 
 def check(folder: Path) -> dict[str, Any]:
-    """`broken` (a list), `submissions` (taken, answered, twice), `turns`, `leaders` and how many rows
+    """`broken` (a list), `requests` (taken, answered, twice), `turns`, `leaders` and how many rows
     there are."""
     rows, broken = rows_of(folder), Broken()
     _agreement(rows, broken)
--- a/merlintally/lab/faults/play.py
+++ b/merlintally/lab/faults/play.py
@@ -95,7 +95,7 @@
 
     def reached(self, trying: Try, number: int, server: Server, now: float) -> None:
         super().reached(trying, number, server, now)
-        self.diary.add("received", server=server.name, id=f"{trying.id:016x}", execution=number)
+        self.diary.add("received", server=server.name, id=f"{trying.id:016x}", attempt=number)
 
 
 class FaultNode(RealNode):
@@ -558,7 +558,7 @@
 
 
 def play(scenario: Scenario, seed: int, folder: Path) -> dict[str, Any]:
-    """Play it, its records in `folder`; gives what the shape says: broken, finished, submissions, faults,
+    """Play it, its records in `folder`; gives what the shape says: broken, finished, requests, faults,
     worst."""
     if folder.exists() and any(folder.iterdir()):
         raise Faults([f"{folder}: is not empty"])
--- a/merlintally/lab/live/processes.py
+++ b/merlintally/lab/live/processes.py
@@ -192,7 +192,7 @@
         """Notes go by sockets here."""
 
     def command(self, trying: Try) -> tuple[bytes, bytes]:
-        """The submission's id and its command."""
+        """The request's id and its command."""
         first = trying.first
         customer, wire = first.customer, b"%016x" % trying.id
         left = max(1, int((trying.ends - self.live.pump.tick()) * 1000))
--- a/merlintally/lab/live/standins.py
+++ b/merlintally/lab/live/standins.py
@@ -127,7 +127,7 @@
         piece = Piece(first.lane, first.work, first.key, trying.id, task.done)
         self.server.arrive(piece)
         if world.reset_share and world.dice.random() < world.reset_share:
-            return self._break(task, writer)  # it breaks under its execution, which goes on
+            return self._break(task, writer)  # it breaks under its attempt, which goes on
         gone: asyncio.Future[bytes] = asyncio.ensure_future(reader.read(1))
         both: list[asyncio.Future[Any]] = [task.outcome, gone]
         await asyncio.wait(both, return_when=asyncio.FIRST_COMPLETED)
--- a/merlintally/lab/play/nodes.py
+++ b/merlintally/lab/play/nodes.py
@@ -1,4 +1,4 @@
-"""An edge node in simulated time: what `merlintally.net.keeper` does on sockets, done on the world's agenda.
+"""An edge node in simulated time: what `merlintally.net.dispatcher` does on sockets, done on the world's agenda.
 
 Decisions take no time here: the cost of the processor is not modelled.
 """
--- a/merlintally/lab/scale/driver.py
+++ b/merlintally/lab/scale/driver.py
@@ -1,7 +1,7 @@
 """One edge node's decision module, the real one, in simulated time.
 
 Requests, answers of app servers, the counter's answers and other nodes' notes come from an event queue; the
-module is called as `merlintally.net.keeper` calls it. Only the processor time of these calls is measured.
+module is called as `merlintally.net.dispatcher` calls it. Only the processor time of these calls is measured.
 """
 
 from __future__ import annotations
--- a/merlintally/lab/scale/hollow.py
+++ b/merlintally/lab/scale/hollow.py
@@ -6,8 +6,8 @@
 Hollow:
 
 - no clients and no app servers: nothing is taken or sent, so `Local` always tells of an idle node with no
-  execution out, and no rates;
-- no owner of the decisions (`net.keeper.Keeper`, `choice.Gateway`): what the cluster part posts to it (who is
+  attempt out, and no rates;
+- no owner of the decisions (`net.dispatcher.Dispatcher`, `choice.Gateway`): what the cluster part posts to it (who is
   taken out, what others drew) is counted and dropped, and it tells no notes, so copies hold no rows of it;
 - no discovery and no counter: the app servers that the node's list shows are given at its start;
 - no record and no log lines; the nodes of one process share its event loop, interpreter and thread pool.
@@ -32,7 +32,7 @@
 from merlintally.cluster.node import ClusterNode
 from merlintally.lab.scale.meter import MeteredLinks, Sent
 from merlintally.net.configuration import Listed
-from merlintally.net.keeper import Keeper
+from merlintally.net.dispatcher import Dispatcher
 from merlintally.net.log import Log
 from merlintally.net.node import EdgeNode
 from merlintally.net.phases import Phase, Phases
@@ -152,7 +152,7 @@
         """Stand until cancelled."""
         try:
             # the cluster part reads of both what the hollow ones have, and nothing else
-            await self.run(cast(EdgeNode, self.edge), cast(Keeper, self.hollow_keeper))
+            await self.run(cast(EdgeNode, self.edge), cast(Dispatcher, self.hollow_keeper))
         finally:
             self.disk.close()
 
--- a/merlintally/lab/scale/receiver.py
+++ b/merlintally/lab/scale/receiver.py
@@ -1,4 +1,4 @@
-"""The part of an edge node that takes lists of app servers: the real keeper, fleet and decisions."""
+"""The part of an edge node that takes lists of app servers: the real dispatcher, fleet and decisions."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 
 from merlintally.lab.scale.workload import deployment
 from merlintally.net.configuration import Deployment, page
-from merlintally.net.keeper import Keeper
+from merlintally.net.dispatcher import Dispatcher
 from merlintally.net.log import Log
 from merlintally.net.servers import Fleet
 from merlintally.net.sockets import Allowance
@@ -25,10 +25,10 @@
     return free - int(free * told.bounds.client_share)
 
 
-def fleet_of(told: Deployment, keeper: Keeper, clock: Clock, log: Log) -> Fleet:
+def fleet_of(told: Deployment, dispatcher: Dispatcher, clock: Clock, log: Log) -> Fleet:
     """A fleet that opens no connections: it has no task group."""
     held = Allowance(int(told.memory * told.bounds.held_share))
-    return Fleet(told, keeper, clock, log, cast(Any, None), Allowance(most_links(told)), held)
+    return Fleet(told, dispatcher, clock, log, cast(Any, None), Allowance(most_links(told)), held)
 
 
 class Receiver:
@@ -37,15 +37,15 @@
     def __init__(self, nodes: int, whole_lists: bool = False) -> None:
         told, clock = deployment(nodes, whole_lists=whole_lists), Clock()
         log = Log(told.name, told.bounds.log_lines)
-        self.keeper = Keeper(told, clock, log)
-        self.keeper.fleet = fleet_of(told, self.keeper, clock, log)
+        self.dispatcher = Dispatcher(told, clock, log)
+        self.dispatcher.fleet = fleet_of(told, self.dispatcher, clock, log)
 
     def take(self, body: bytes) -> None:
-        """As merlintally.net.discovery takes an answer, and the keeper what is in it."""
+        """As merlintally.net.discovery takes an answer, and the dispatcher what is in it."""
         _, complete, entries = page(json.loads(body))
         if entries or complete:
-            self.keeper.listed(entries, complete)
-            self.keeper.gateway.take_results(self.keeper.clock.now())
+            self.dispatcher.listed(entries, complete)
+            self.dispatcher.gateway.take_results(self.dispatcher.clock.now())
 
 
 class Watch:
--- a/merlintally/lab/scale/slopes_connections.py
+++ b/merlintally/lab/scale/slopes_connections.py
@@ -19,7 +19,7 @@
 from merlintally.lab.scale.usage import OtherNodes
 from merlintally.lab.scale.workload import Arrivals, deployment, server_list, tenants_of
 from merlintally.net.configuration import Deployment
-from merlintally.net.keeper import Keeper
+from merlintally.net.dispatcher import Dispatcher
 from merlintally.net.log import Log
 from merlintally.net.servers import Fleet, Link, Server
 from merlintally.net.sockets import Allowance
@@ -50,7 +50,7 @@
     """A connection without a socket; it is connected at once."""
 
     def __init__(self, fleet: Fleet, server: Server) -> None:
-        self.fleet, self.server, self.execution = fleet, server, None
+        self.fleet, self.server, self.attempt = fleet, server, None
         self.stream = cast(Any, QuietStream())
         self.idle_since, self.dead, self.connected = 0.0, False, True
 
@@ -65,7 +65,9 @@
 
     def __init__(self, told: Deployment, clock: Clock, log: Log) -> None:
         nobody, held = cast(Any, None), Allowance(told.memory)
-        super().__init__(told, cast(Keeper, nobody), clock, log, nobody, Allowance(most_links(told)), held)
+        super().__init__(
+            told, cast(Dispatcher, nobody), clock, log, nobody, Allowance(most_links(told)), held
+        )
         self.handshakes = self.without_descriptor = 0
 
     def link_for(self, name: str) -> SimulatedLink | None:
--- a/merlintally/net/clients.py
+++ b/merlintally/net/clients.py
@@ -21,9 +21,9 @@
 from merlintally.net.phases import Phase, Phases
 from merlintally.net.polling import ready_times
 from merlintally.net.post import Owner
+from merlintally.net.requests import COMMANDS, PendingAnswer, Request
 from merlintally.net.resp import Span, array_at
 from merlintally.net.sockets import Allowance, Buffer, prepared
-from merlintally.net.taken import COMMANDS, Due, Taken
 from merlintally.net.timers import Clock
 
 AT_ONCE, LINGERING = 16, 8  # connections accepted, and reads of one that is to be closed, in a row
@@ -53,13 +53,13 @@
         self.stream = ClientStream(
             sock, clients.held, clients.clock, clients.ready_times, now if came_after is None else came_after
         )
-        self.due: deque[Due] = deque()
+        self.pending: deque[PendingAnswer] = deque()
         self.moved_at = now  # when it last made headway, in either direction
         self.read_at = self.moved_at  # when something of it was last read
         self.whole_by = self.moved_at + clients.bounds.client_patience_s  # the command that is being read
         self.closing = self.ended = False
         self.retiring = False  # to be closed as soon as it rests
-        self.known = False  # whether it has brought a submission
+        self.known = False  # whether it has brought a request
         self.faults = 0  # since then
         self.unread = 0  # bytes held of answers that it has not read
         self._passed = anyio.Event()
@@ -80,19 +80,19 @@
     @property
     def idle(self) -> bool:
         """Whether it is owed nothing, as far as was read."""
-        return not self.due and not self.stream.unsent and not self.ended
+        return not self.pending and not self.stream.unsent and not self.ended
 
     @property
     def finished(self) -> bool:
         """Whether all that it was owed is written, and the end behind it."""
-        return self.closing and not self.due and not self.stream.unsent
+        return self.closing and not self.pending and not self.stream.unsent
 
     @property
     def rests(self) -> bool:
-        """Whether nothing is owed. Guards against a submission that has come whole and is not read yet when
+        """Whether nothing is owed. Guards against a request that has come whole and is not read yet when
         its connection is closed: it counts as taken, and would be lost."""
         stream = self.stream
-        return not self.due and not stream.unsent and stream.start == stream.end and stream.quiet()
+        return not self.pending and not stream.unsent and stream.start == stream.end and stream.quiet()
 
     async def run(self) -> None:
         """Guards against a fault in handling one connection: it ends that one, and no other."""
@@ -117,7 +117,7 @@
         stream, most = self.stream, self.clients.bounds.pipelined
         try:
             while not self.closing and stream.start < stream.end:
-                if len(self.due) >= most or stream.unsent:
+                if len(self.pending) >= most or stream.unsent:
                     await self._watching(self._until_passed)
                     continue
                 found = array_at(stream.buffer, stream.start, stream.end)
@@ -136,7 +136,7 @@
                     await self._command(raw, words if len(words) == len(spans) else [(0, 0)], came_at)
         except Malformed as wrong:  # the framing is lost: answer what was taken before, and close
             self.clients.log.say(f"client {self.who}: {wrong}; its connection is closed", "client.closed")
-            self.due.append(Due([b"-ERR Protocol error: %b\r\n" % plain(wrong)]))
+            self.pending.append(PendingAnswer([b"-ERR Protocol error: %b\r\n" % plain(wrong)]))
             self.closing = True
             self.pass_on()
 
@@ -150,23 +150,23 @@
         name, clients = raw[words[0][0] : words[0][1]].upper(), self.clients
         if name in COMMANDS:
             try:
-                taken = Taken(self, raw, words, clients.facts, came_at)
+                request = Request(self, raw, words, clients.facts, came_at)
             except Malformed as wrong:
-                self.due.append(Due([b"-ERR %b\r\n" % plain(wrong)]))
+                self.pending.append(PendingAnswer([b"-ERR %b\r\n" % plain(wrong)]))
                 self.pass_on()
                 await self._fault()
             else:
                 self.known, self.faults = True, 0
                 self.retiring = self.retiring or self.admission is not Admission.STAYS
                 if self.admission is Admission.REJECTED and not clients.give_way(urgent=True):
-                    self.due.append(Due([b"-BUSY\r\n"]))
+                    self.pending.append(PendingAnswer([b"-BUSY\r\n"]))
                     self.pass_on()
                     return
-                self.due.append(taken)
-                clients.held.take(taken.size)
-                await clients.keeper.post(clients.keeper.take, taken)
+                self.pending.append(request)
+                clients.held.take(request.size)
+                await clients.dispatcher.post(clients.dispatcher.take, request)
             return
-        self.due.append(Due([self._aside(name)]))
+        self.pending.append(PendingAnswer([self._aside(name)]))
         self.pass_on()
         if name in ASIDE:
             await anyio.sleep(0)  # guards against hundreds at once, while all others wait
@@ -188,7 +188,7 @@
         await self._watching(partial(anyio.sleep, self.clients.bounds.fault_pause_s))
 
     async def _watching(self, wait: Callable[[], Awaitable[None]]) -> None:
-        """Wait, and see it when the client leaves meanwhile. Guards against executions for one that has long
+        """Wait, and see it when the client leaves meanwhile. Guards against attempts for one that has long
         gone, whose end stood behind commands that were not read: these are read now, and kept for later."""
         async with anyio.create_task_group() as group:
             group.start_soon(self._read_on, group.cancel_scope)
@@ -208,7 +208,7 @@
     async def _linger(self) -> None:
         """Wait for what is owed, then a moment for the other side's end: what it still sends is left unread,
         or the error could be lost with the connection's reset."""
-        while (self.due or self.stream.unsent) and not self.ended:
+        while (self.pending or self.stream.unsent) and not self.ended:
             await self._watching(self._until_passed)
         if self.ended:
             return
@@ -220,7 +220,7 @@
                 self.stream.throw_away()
 
     def _aside(self, name: bytes) -> bytes:
-        """What is spoken beside submissions."""
+        """What is spoken beside requests."""
         if name == b"PING":
             serving = self.clients.phases.current is Phase.SERVING
             return b"+PONG\r\n" if serving else b"-ERR leaving\r\n"
@@ -231,11 +231,11 @@
     def pass_on(self) -> None:
         """Write the answers whose turn has come."""
         ready: list[Buffer] = []
-        while self.due and self.due[0].answer is not None:
-            due = self.due.popleft()
-            ready.extend(due.answer or ())
-            if isinstance(due, Taken):
-                self.clients.held.give(due.size)
+        while self.pending and self.pending[0].answer is not None:
+            pending = self.pending.popleft()
+            ready.extend(pending.answer or ())
+            if isinstance(pending, Request):
+                self.clients.held.give(pending.size)
         if ready and not self.ended:
             self.moved_at = self.clients.clock.now()
             try:
@@ -290,13 +290,13 @@
         clients = self.clients
         clients.connections.pop(self, None)
         clients.descriptors.give()
-        owed, self.due = [due for due in self.due if isinstance(due, Taken)], deque()
-        for taken in owed:
-            taken.gone = True  # guards against sends for it while the word of it waits in a long queue
-            clients.held.give(taken.size)
-        for taken in owed:
-            if taken.answer is None:
-                await clients.keeper.post(clients.keeper.left, taken)
+        owed, self.pending = [pending for pending in self.pending if isinstance(pending, Request)], deque()
+        for request in owed:
+            request.gone = True  # guards against sends for it while the word of it waits in a long queue
+            clients.held.give(request.size)
+        for request in owed:
+            if request.answer is None:
+                await clients.dispatcher.post(clients.dispatcher.left, request)
 
 
 class Clients:
@@ -307,7 +307,7 @@
         deployment: Deployment,
         listener: socket.socket,
         phases: Phases,
-        keeper: Owner,
+        dispatcher: Owner,
         clock: Clock,
         log: Log,
         group: TaskGroup,
@@ -317,7 +317,7 @@
     ) -> None:
         """`listening_since`: Unix seconds from which on connections may wait; the present if None."""
         self.listener, self.phases, self.bounds = listener, phases, deployment.bounds
-        self.keeper, self.clock, self.log, self.group = keeper, clock, log, group
+        self.dispatcher, self.clock, self.log, self.group = dispatcher, clock, log, group
         self.descriptors, self.held = descriptors, held
         self.facts = deployment.facts
         self.connections: dict[Client, None] = {}
@@ -395,10 +395,10 @@
         for client in list(self.connections):
             still, stream = now - client.moved_at, client.stream
             begun = stream.start < stream.end or not client.known
-            if stream.unsent or (client.closing and not client.due):
+            if stream.unsent or (client.closing and not client.pending):
                 if still > bounds.client_stall_s:
                     client.end()
-            elif not client.due and begun and now > client.whole_by:
+            elif not client.pending and begun and now > client.whole_by:
                 if stream.quiet():  # else what makes it whole may have come
                     self.closures.add(NO_REQUEST, client.address)
                     client.end()
@@ -416,7 +416,7 @@
             client.retire()
 
     def read_no_more(self) -> None:
-        """Guards against submissions that come on until the process ends, and are lost with it: what is not
+        """Guards against requests that come on until the process ends, and are lost with it: what is not
         read when its connection closes is sent again elsewhere."""
         for client in list(self.connections):
             client.closing = True
--- a/merlintally/net/configuration.py
+++ b/merlintally/net/configuration.py
@@ -29,8 +29,8 @@
     queue: int = 2048  # calls that wait for the task that owns the decisions
     client_idle_s: float = 4.0  # a client's connection that stands idle for as long is closed
     client_rest_s: float = 2.0  # or as long, where another needs its descriptor: sooner is not allowed
-    client_silent_s: float = 0.25  # or as long, there, while it has never brought a submission
-    client_patience_s: float = 2.2  # until a connection brings its first submission, or a command is whole
+    client_silent_s: float = 0.25  # or as long, there, while it has never brought a request
+    client_patience_s: float = 2.2  # until a connection brings its first request, or a command is whole
     client_stall_s: float = 5.0  # for which an answer may make no headway
     linger_s: float = 0.3  # for the other side to end a connection, too
     faults: int = 20  # of the commands on one connection, after which it is closed
@@ -52,7 +52,7 @@
     spared_s: float = 4.0  # between calls to discovery once it says that it is overloaded
     spared_most_s: float = 20.0  # and at the most, while it goes on saying so
     asked_before_s: float = 0.5  # by which a call to discovery comes before what it lists counts as told
-    leave_s: float = 0.5  # for which submissions are still taken after being told to stop
+    leave_s: float = 0.5  # for which requests are still taken after being told to stop
     finish_s: float = 3.4  # after which all that is still open is ended
     finish_beyond_s: float = 0.4  # or that much after the longest hard limit, where that is sooner
     late_s: float = 0.1  # by which the loop may run late unsaid
--- a/merlintally/net/counter.py
+++ b/merlintally/net/counter.py
@@ -52,13 +52,13 @@
         where: Address,
         time_out: float,
         bounds: Bounds,
-        keeper: Owner,
+        dispatcher: Owner,
         clock: Clock,
         timers: Timers,
         log: Log,
     ) -> None:
         self.where, self.time_out, self.bounds = where, time_out, bounds
-        self.keeper, self.clock, self.timers, self.log = keeper, clock, timers, log
+        self.dispatcher, self.clock, self.timers, self.log = dispatcher, clock, timers, log
         self.unsent: deque[Call] = deque()  # not yet written: nothing is added
         self.line: Line | None = None  # on which calls are written
         self.lines: dict[Line, None] = {}  # it, and those whose last answers are awaited
@@ -106,7 +106,7 @@
 
     def _over(self, call: Call, outcome: CounterOutcome, total: float = 0.0) -> None:
         call.over = True
-        self.keeper.counted(call.name, outcome, total, self.clock.now() - call.began)
+        self.dispatcher.counted(call.name, outcome, total, self.clock.now() - call.began)
 
     def _write(self) -> None:
         """Write what waits, once the connection stands. One that takes no more bytes is as good as broken."""
@@ -147,7 +147,7 @@
 
     async def _lose(self, calls: deque[Call]) -> None:
         while calls:
-            await self.keeper.post(self._lost, calls.popleft())
+            await self.dispatcher.post(self._lost, calls.popleft())
 
     def _lost(self, call: Call) -> None:
         if not call.over:
@@ -175,7 +175,7 @@
             if not line.pending:
                 raise Malformed("an answer came to no call")
             outcome, total = outcome_of(answer)
-            await self.keeper.post(self._answered, line.pending.popleft(), outcome, total)
+            await self.dispatcher.post(self._answered, line.pending.popleft(), outcome, total)
         if not PART.fullmatch(stream.buffer, stream.start, stream.end):
             raise Malformed("an answer begins in an unknown form")
 
@@ -183,7 +183,7 @@
         if not call.over:
             self._over(call, outcome, total)
         elif outcome == "ok":
-            self.keeper.counted_late(call.name, total)
+            self.dispatcher.counted_late(call.name, total)
 
 
 def outcome_of(answer: str) -> tuple[CounterOutcome, float]:
--- a/merlintally/net/discovery.py
+++ b/merlintally/net/discovery.py
@@ -38,14 +38,14 @@
         where: Address,
         version: int | None,
         bounds: Bounds,
-        keeper: Owner,
+        dispatcher: Owner,
         chance: Random,
         log: Log,
         local: bool = False,
     ) -> None:
         """`local`: an agent of this machine, which has lists pushed to it. What it gets after an outage
         counts as told at once, and asking it costs nothing: it is not asked ever less while it is silent."""
-        self.where, self.bounds, self.keeper, self.log = where, bounds, keeper, log
+        self.where, self.bounds, self.dispatcher, self.log = where, bounds, dispatcher, log
         self.version = version  # of the list that the node has; None: the whole list is needed
         self.broken = self.proven = False  # proven: its last call was answered, so that a watch may be opened
         self.first = anyio.Event()  # its first call has had an answer, or has failed
@@ -175,5 +175,5 @@
         if self.version is not None and index < self.version:  # guards against a drain that is taken back
             raise Malformed(f"an answer is of version {index}, older than {self.version}, which is held")
         if entries or complete:
-            await self.keeper.post(self.keeper.listed, entries, complete)
+            await self.dispatcher.post(self.dispatcher.listed, entries, complete)
         self.version, self.broken = index, False
--- a/merlintally/net/keeper.py
+++ b/merlintally/net/dispatcher.py
@@ -14,10 +14,10 @@
 from merlintally.net.counter import Counter
 from merlintally.net.log import Log
 from merlintally.net.post import Noting, Post, Right
+from merlintally.net.requests import Answer, Attempt, Request
 from merlintally.net.roster import Roster, subset_of
 from merlintally.net.servers import Fleet
 from merlintally.net.sockets import Buffer
-from merlintally.net.taken import Answer, Execution, Taken
 from merlintally.net.timers import Clock, Timers
 from merlintally.subsets import Listing
 
@@ -32,10 +32,10 @@
     return "bounced" if head == b"-BUSY" else "given up" if head[:1] == b"-" else "delivered"
 
 
-class Keeper:
+class Dispatcher:
     """Turns what comes through the queue into calls on the decisions, and carries out what they want done.
 
-    `post` is for everyone else; the other methods run in the keeper's own task.
+    `post` is for everyone else; the other methods run in the dispatcher's own task.
     """
 
     def __init__(self, deployment: Deployment, clock: Clock, log: Log) -> None:
@@ -47,13 +47,13 @@
         self.timers: Timers
         self.counter: Counter | None = None
         self.peers: Noting | None = None
-        self.taken: dict[int, Taken] = {}
+        self.open_requests: dict[int, Request] = {}
         self.ids = set[bytes]()  # of those taken
         self.last_number, self.leaving = 0, False
         self.right: Right | None = None  # to take and to send, where nodes settle it among themselves
         self.out: frozenset[str] = frozenset()  # app servers that are taken out for work
         self.shown: dict[str, Listed] | None = None  # as listed, where app servers may be taken out
-        self.soon: deque[tuple[Callable[..., None], tuple[Any, ...]]] = deque()  # the keeper's own calls
+        self.soon: deque[tuple[Callable[..., None], tuple[Any, ...]]] = deque()  # the dispatcher's own calls
         self._queue = Post(deployment.bounds.queue)
         self.post = self._queue.post
 
@@ -98,80 +98,84 @@
 
     # What comes through the queue.
 
-    def take(self, taken: Taken) -> None:
+    def take(self, request: Request) -> None:
         may = not self.leaving and (self.right is None or self.right.may_take())
-        if not may or len(self.taken) >= self.most_open:
-            self._pass_on(taken, BUSY)
+        if not may or len(self.open_requests) >= self.most_open:
+            self._pass_on(request, BUSY)
             return
-        if taken.id in self.ids:  # guards against one that gets, or spoils, what is another's
-            self._pass_on(taken, SAME_ID)
+        if request.id in self.ids:  # guards against one that gets, or spoils, what is another's
+            self._pass_on(request, SAME_ID)
             return
-        self.ids.add(taken.id)
+        self.ids.add(request.id)
         now = self.clock.now()
-        taken.number = self.last_number = self.last_number + 1
-        self.taken[taken.number] = taken
+        request.number = self.last_number = self.last_number + 1
+        self.open_requests[request.number] = request
         try:
-            taken.handle = self.gateway.take(
+            request.handle = self.gateway.take(
                 now,
-                taken.number,
-                taken.lane,
-                taken.customer,
-                taken.plan,
-                taken.ends - now,
-                taken.units,
-                taken.spread,
+                request.number,
+                request.lane,
+                request.customer,
+                request.plan,
+                request.deadline - now,
+                request.units,
+                request.spread,
             )
         finally:
-            if taken.handle is None:
-                self._answer(taken.number, GIVEN_UP)
+            if request.handle is None:
+                self._answer(request.number, GIVEN_UP)
         if self.log.follows:
-            self._step(taken, "submission.taken", plan=taken.plan, units=taken.units, left_s=taken.ends - now)
+            self._step(
+                request, "submission.taken", plan=request.plan, units=request.units, left_s=request.deadline - now
+            )
 
-    def left(self, taken: Taken) -> None:
+    def left(self, request: Request) -> None:
         """Its client has gone away."""
-        taken.gone = True
-        if taken.handle is not None and taken.answer is None:
-            taken.handle.left(self.clock.now())
-        self.soon.append((self._forget, (taken,)))  # a send of it may be wanted already, and has to end, too
-
-    def ended(self, execution: Execution, answer: Answer) -> None:
-        """An execution has ended; its first good answer is the submission's."""
-        if execution.over:
+        request.gone = True
+        if request.handle is not None and request.answer is None:
+            request.handle.left(self.clock.now())
+        self.soon.append(
+            (self._forget, (request,))
+        )  # a send of it may be wanted already, and has to end, too
+
+    def ended(self, attempt: Attempt, answer: Answer) -> None:
+        """An attempt has ended; its first good answer is the request's."""
+        if attempt.over:
             return
-        execution.over = True
-        taken, now = execution.taken, self.clock.now()
+        attempt.over = True
+        request, now = attempt.request, self.clock.now()
         if self.log.follows:
             self._step(
-                taken,
+                request,
                 "execution.ended",
-                execution=execution.number,
+                attempt=attempt.number,
                 outcome=answer.outcome,
-                after_s=now - execution.began,
+                after_s=now - attempt.began,
             )
-        taken.out.pop(execution.number, None)
+        request.out.pop(attempt.number, None)
         if answer.value:
-            self._pass_on(taken, [answer.value])
-        if taken.handle is not None:
-            server = taken.handle.out.get(execution.number)
-            taken.handle.ended(
+            self._pass_on(request, [answer.value])
+        if request.handle is not None:
+            server = request.handle.out.get(attempt.number)
+            request.handle.ended(
                 now,
-                execution.number,
+                attempt.number,
                 answer.outcome,
-                now - execution.began,
-                taken.answer is not None or taken.gone,
+                now - attempt.began,
+                request.answer is not None or request.gone,
                 answer.actual,
                 answer.report,
             )
             # Guards against attempts that this node held back itself: they say nothing of the server.
-            if server is not None and execution.link is not None:
+            if server is not None and attempt.link is not None:
                 self.roster.ended(self.clock.now(), server.name, answer.outcome)
-        self._forget(taken)
+        self._forget(request)
 
-    def expired(self, execution: Execution) -> None:
-        """The node stops waiting for an execution; an answer that is already in the queue still counts."""
-        if not execution.over and not execution.answered:
-            self.fleet.call_off(execution)
-            self.ended(execution, Answer("timed_out" if execution.written else "unreachable"))
+    def expired(self, attempt: Attempt) -> None:
+        """The node stops waiting for an attempt; an answer that is already in the queue still counts."""
+        if not attempt.over and not attempt.answered:
+            self.fleet.call_off(attempt)
+            self.ended(attempt, Answer("timed_out" if attempt.written else "unreachable"))
 
     def listed(self, entries: list[Listed], complete: bool) -> None:
         if self.shown is not None:
@@ -232,63 +236,63 @@
     def end_all(self) -> None:
         """The node has to go: whatever is still open gets the answer that it may have."""
         now, self.leaving = self.clock.now(), True
-        for taken in list(self.taken.values()):
-            if taken.handle is not None and not taken.handle.closed:
-                self.gateway.finish(now, taken.handle)
+        for request in list(self.open_requests.values()):
+            if request.handle is not None and not request.handle.closed:
+                self.gateway.finish(now, request.handle)
 
-    def _step(self, taken: Taken, event: str, **fields: object) -> None:
-        """A step of a submission, for those who follow an id over nodes. Called only where the log follows:
-        what it tells is not worth working out for nobody, several times a submission."""
+    def _step(self, request: Request, event: str, **fields: object) -> None:
+        """A step of a request, for those who follow an id over nodes. Called only where the log follows:
+        what it tells is not worth working out for nobody, several times a request."""
         self.log.say(
-            "", event, submission=taken.id.decode(), customer=taken.customer, lane=taken.lane, **fields
+            "", event, submission=request.id.decode(), customer=request.customer, lane=request.lane, **fields
         )
 
     # What the decisions want done.
 
     def _begin(self, number: int, server: str, time_out: float, now: float) -> None:
-        taken = self.taken[number]
-        until = min(taken.ends, now + time_out) if time_out else taken.ends
-        assert taken.handle is not None, "sent before it was taken"
-        execution = Execution(taken, taken.sent, now, until, taken.handle.begin_by(taken.sent))
-        taken.sent += 1
-        taken.out[execution.number] = execution
+        request = self.open_requests[number]
+        until = min(request.deadline, now + time_out) if time_out else request.deadline
+        assert request.handle is not None, "sent before it was taken"
+        attempt = Attempt(request, request.sent, now, until, request.handle.begin_by(request.sent))
+        request.sent += 1
+        request.out[attempt.number] = attempt
         if self.log.follows:
-            self._step(taken, "execution.sent", execution=execution.number, server=server)
+            self._step(request, "execution.sent", attempt=attempt.number, server=server)
         # Guards against a process stopped for longer than its right lasts, which sends before any timer
         # has told it so: the right is looked up here, at each send.
         may = self.right is None or self.right.may_send(server)
-        if may and not taken.gone and self.fleet.send(server, execution):
-            self.timers.at(until, self.expired, execution)
+        if may and not request.gone and self.fleet.send(server, attempt):
+            self.timers.at(until, self.expired, attempt)
         else:
-            self.soon.append((self.ended, (execution, Answer("unreachable"))))
+            self.soon.append((self.ended, (attempt, Answer("unreachable"))))
 
     def _add(self, name: int, amount: float, keep: float) -> None:
         if self.counter is None or not self.counter.add(name, amount, keep):
             self.soon.append((self.counted, (name, "unreachable", 0.0, 0.0)))
 
     def _call_off(self, number: int, execution_number: int) -> None:
-        taken = self.taken.get(number)
-        execution = taken.out.get(execution_number) if taken else None
-        if execution is not None and not execution.answered:
-            self.fleet.call_off(execution)
-            self.soon.append((self.ended, (execution, Answer("withdrawn"))))
+        request = self.open_requests.get(number)
+        attempt = request.out.get(execution_number) if request else None
+        if attempt is not None and not attempt.answered:
+            self.fleet.call_off(attempt)
+            self.soon.append((self.ended, (attempt, Answer("withdrawn"))))
 
     def _answer(self, number: int, answer: list[Buffer]) -> None:
-        taken = self.taken.get(number)
-        if taken is not None:
-            self._pass_on(taken, answer)
-            self._forget(taken)
-
-    def _pass_on(self, taken: Taken, answer: list[Buffer]) -> None:
-        """The final answer of a submission: the first one, and never another."""
-        if taken.answer is None and not taken.gone:
+        request = self.open_requests.get(number)
+        if request is not None:
+            self._pass_on(request, answer)
+            self._forget(request)
+
+    def _pass_on(self, request: Request, answer: list[Buffer]) -> None:
+        """The final answer of a request: the first one, and never another."""
+        if request.answer is None and not request.gone:
             if self.log.follows:
-                self._step(taken, "submission.answered", answer=kind_of(answer))
-            taken.answer = answer
-            taken.client.pass_on()
-
-    def _forget(self, taken: Taken) -> None:
-        if not taken.out and (taken.gone or taken.answer is not None):
-            if self.taken.pop(taken.number, None) is not None:
-                self.ids.discard(taken.id)
-            taken.raw = b""  # the timers may know it for a while yet
+                self._step(request, "submission.answered", answer=kind_of(answer))
+            request.answer = answer
+            request.client.pass_on()
+
+    def _forget(self, request: Request) -> None:
+        if not request.out and (request.gone or request.answer is not None):
+            if self.open_requests.pop(request.number, None) is not None:
+                self.ids.discard(request.id)
+            request.raw = b""  # the timers may know it for a while yet
--- a/merlintally/net/log.py
+++ b/merlintally/net/log.py
@@ -27,7 +27,7 @@
 class Log:
     """Prints a line for each thing said; more than `per_second` a second are counted and left out.
 
-    `follows` says whether the steps of each submission are wanted, too; `reread` is called at SIGHUP, where
+    `follows` says whether the steps of each request are wanted, too; `reread` is called at SIGHUP, where
     somebody has set it, to set the log anew.
     """
 
--- a/merlintally/net/node.py
+++ b/merlintally/net/node.py
@@ -21,7 +21,7 @@
 from merlintally.net.configuration import Address, Deployment, Faulty, fixed_changes, read_deployment
 from merlintally.net.counter import Counter
 from merlintally.net.discovery import Discovery
-from merlintally.net.keeper import Keeper
+from merlintally.net.dispatcher import Dispatcher
 from merlintally.net.log import Log
 from merlintally.net.peers import Peers
 from merlintally.net.phases import Phase, Phases
@@ -32,7 +32,7 @@
 from merlintally.subsets import USUAL, Terms
 
 LEAST_BACKLOG, MOST_BACKLOG = 128, 1024  # connections that the system accepted and the node has not
-Part = Callable[["EdgeNode", Keeper], Awaitable[None]]
+Part = Callable[["EdgeNode", Dispatcher], Awaitable[None]]
 
 
 class EdgeNode:
@@ -102,19 +102,19 @@
     ) -> None:
         told, bounds, log = self.deployment, self.deployment.bounds, self.log
         clock = Clock()
-        keeper = Keeper(told, clock, log)
-        timers = keeper.timers = Timers(clock, keeper.post, log, bounds.late_s)
+        dispatcher = Dispatcher(told, clock, log)
+        timers = dispatcher.timers = Timers(clock, dispatcher.post, log, bounds.late_s)
         discovery = self.discovery = Discovery(
-            told.discovery, told.known_index, bounds, keeper, keeper.gateway.random, log, told.pushed
+            told.discovery, told.known_index, bounds, dispatcher, dispatcher.gateway.random, log, told.pushed
         )
         async with anyio.create_task_group() as group:
             held = Allowance(int(told.memory * bounds.held_share))
-            fleet = Fleet(told, keeper, clock, log, group, Allowance(told.server_descriptors), held)
+            fleet = Fleet(told, dispatcher, clock, log, group, Allowance(told.server_descriptors), held)
             clients = Clients(
                 told,
                 listener,
                 self.phases,
-                keeper,
+                dispatcher,
                 clock,
                 log,
                 group,
@@ -122,25 +122,25 @@
                 held,
                 self.listening_since + clock.offset,
             )
-            keeper.fleet = fleet
+            dispatcher.fleet = fleet
             tasks: list[Callable[[], Awaitable[None]]] = [
-                keeper.run,
+                dispatcher.run,
                 timers.run,
                 discovery.run,
                 partial(self._sweep, clock, clients, fleet),
             ]
             if told.counter is not None:
                 time_out = told.facts.count_time_out
-                self.counter = Counter(told.counter, time_out, bounds, keeper, clock, timers, log)
-                keeper.counter = self.counter
+                self.counter = Counter(told.counter, time_out, bounds, dispatcher, clock, timers, log)
+                dispatcher.counter = self.counter
                 tasks.append(self.counter.run)
             if peer_sock is not None:
-                keeper.peers = peers = Peers(peer_sock, told.peers, told.peers_all, keeper, log)
+                dispatcher.peers = peers = Peers(peer_sock, told.peers, told.peers_all, dispatcher, log)
                 tasks.append(peers.run)
             for part in self.parts:
-                tasks.append(partial(part, self, keeper))
-            keeper.listed(list(told.known), True)
-            keeper.carry_out()
+                tasks.append(partial(part, self, dispatcher))
+            dispatcher.listed(list(told.known), True)
+            dispatcher.carry_out()
             for task in tasks:
                 group.start_soon(self._lasting, task)
             # Guards against sends right after a start to what drained meanwhile: what discovery has counts as
@@ -154,7 +154,7 @@
                 await self.phases.reached(Phase.LEAVING)
                 await anyio.sleep(bounds.leave_s)
                 accepting.cancel_scope.cancel()
-            await self._finish(keeper, clients)
+            await self._finish(dispatcher, clients)
             group.cancel_scope.cancel()
 
     async def _lasting(self, task: Callable[[], Awaitable[None]]) -> None:
@@ -166,7 +166,7 @@
                 self.log.say(f"a task begins again: {traceback.format_exc()}", "task.again")
             await anyio.sleep(self.deployment.bounds.again_s)
 
-    async def _finish(self, keeper: Keeper, clients: Clients) -> None:
+    async def _finish(self, dispatcher: Dispatcher, clients: Clients) -> None:
         """Take no new connection, and answer all that was taken. It has to be over before the node is killed,
         which comes the sooner the shorter the hard limits are."""
         bounds, longest = self.deployment.bounds, max(lane.hard_limit for lane in self.deployment.facts.lanes)
@@ -174,19 +174,19 @@
         self.phases.enter(Phase.FINISHING)
         clients.retire()
         with anyio.move_on_after(min(bounds.finish_s, longest + bounds.finish_beyond_s) - bounds.leave_s):
-            await self._until_answered(keeper, clients)
+            await self._until_answered(dispatcher, clients)
         clients.read_no_more()
-        await keeper.post(keeper.end_all)
+        await dispatcher.post(dispatcher.end_all)
         with anyio.move_on_after(bounds.late_s):
-            await self._until_answered(keeper, clients)
+            await self._until_answered(dispatcher, clients)
         # Guards against last answers lost with a reset: what clients still sent is read before all closes.
         with anyio.move_on_after(min(bounds.linger_s, bounds.late_s)):
             while clients.connections:
                 await anyio.sleep(0.02)
         self.phases.enter(Phase.ENDED)
 
-    async def _until_answered(self, keeper: Keeper, clients: Clients) -> None:
-        while keeper.taken or any(not client.finished for client in clients.connections):
+    async def _until_answered(self, dispatcher: Dispatcher, clients: Clients) -> None:
+        while dispatcher.open_requests or any(not client.finished for client in clients.connections):
             await anyio.sleep(0.02)
 
     async def _sweep(self, clock: Clock, clients: Clients, fleet: Fleet) -> None:
--- a/merlintally/net/peers.py
+++ b/merlintally/net/peers.py
@@ -20,11 +20,11 @@
         sock: socket.socket,
         peers: tuple[Address, ...],
         everyone: Address | None,
-        keeper: Owner,
+        dispatcher: Owner,
         log: Log,
     ) -> None:
         self.numbers = {peer: number for number, peer in enumerate(peers)}
-        self.everyone, self.keeper, self.log = everyone, keeper, log
+        self.everyone, self.dispatcher, self.log = everyone, dispatcher, log
         self.sock = sock
 
     def tell(self, payload: bytes) -> None:
@@ -44,7 +44,7 @@
                 continue
             number = self.numbers.get(sender)
             if number is not None and len(payload) <= MOST:
-                await self.keeper.post(self.keeper.noted, number, payload)
+                await self.dispatcher.post(self.dispatcher.noted, number, payload)
             else:
                 told = f"{len(payload)} bytes or more from {sender[0]}:{sender[1]}"
                 self.log.say(f"a datagram of {told} is dropped", "note.dropped")
--- a/merlintally/net/phases.py
+++ b/merlintally/net/phases.py
@@ -9,7 +9,7 @@
 
 class Phase(IntEnum):
     STARTING = 0  # nothing listens yet
-    SERVING = 1  # takes submissions
+    SERVING = 1  # takes requests
     LEAVING = 2  # told to stop; goes on taking until the front has noticed
     FINISHING = 3  # takes nothing new; answers what it has
     ENDED = 4
--- a/merlintally/net/taken.py
+++ b/merlintally/net/requests.py
@@ -1,4 +1,4 @@
-"""A submission as it came from a client: its command, checked, the form for an app server, its executions."""
+"""A request as it came from a client: its command, checked, the form for an app server, its attempts."""
 
 from __future__ import annotations
 
@@ -17,17 +17,17 @@
 CUSTOMER = re.compile(rb"0{7}[01][0-9a-fA-F]{8}")
 WORD = re.compile(rb"[!-~]{1,64}")  # an id, as app servers and logs can bear it
 NUMERAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")  # stricter than Python, which also reads 1_0 and 1e9
-BESIDE = 1024  # bytes held for a submission beside its own
+BESIDE = 1024  # bytes held for a request beside its own
 LIMIT_TERM = re.compile(rb"(?:^|,)d=([^,]*)")
 
 
 class Connection(Protocol):
-    """Whoever brought a submission, and is told once its answer is there."""
+    """Whoever brought a request, and is told once its answer is there."""
 
     def pass_on(self) -> None: ...
 
 
-class Due:
+class PendingAnswer:
     """An answer that a client's connection owes, in the order of its commands."""
 
     __slots__ = ("answer",)
@@ -36,8 +36,8 @@
         self.answer = answer
 
 
-class Taken(Due):
-    """One submission, from its last byte on."""
+class Request(PendingAnswer):
+    """One request, from its last byte on."""
 
     __slots__ = (
         "client",
@@ -50,7 +50,7 @@
         "units",
         "spread",
         "id",
-        "ends",
+        "deadline",
         "size",
         "number",
         "handle",
@@ -95,10 +95,10 @@
         if not 1 <= self.spread <= facts.gateways or whole(terms, "first") >= facts.gateways:
             raise Malformed("fields 'spread' and 'first' name no set of gateways")
         # Guards against a stated wait of weeks, for as long as which all that belongs to it would be kept.
-        self.ends, self.size = arrived + min(limit / 1000, lane.hard_limit), len(raw) + BESIDE
+        self.deadline, self.size = arrived + min(limit / 1000, lane.hard_limit), len(raw) + BESIDE
         self.number, self.sent, self.gone = 0, 0, False
         self.handle: Submission | None = None
-        self.out: dict[int, Execution] = {}
+        self.out: dict[int, Attempt] = {}
 
     def message(self, wait: float) -> list[Buffer]:
         """The command for an app server, unchanged but for how long the answer is waited for."""
@@ -109,13 +109,13 @@
         return [raw[:head], length, raw[first:start], digits, raw[stop:]]
 
 
-class Execution:
-    """One execution of a submission at an app server."""
+class Attempt:
+    """One attempt of a request at an app server."""
 
-    __slots__ = ("taken", "number", "began", "until", "begin_by", "link", "written", "answered", "over")
+    __slots__ = ("request", "number", "began", "until", "begin_by", "link", "written", "answered", "over")
 
-    def __init__(self, taken: Taken, number: int, began: float, until: float, begin_by: float) -> None:
-        self.taken, self.number, self.began, self.until = taken, number, began, until
+    def __init__(self, request: Request, number: int, began: float, until: float, begin_by: float) -> None:
+        self.request, self.number, self.began, self.until = request, number, began, until
         self.begin_by = begin_by  # it is not written later, whenever its connection comes up
         self.link: object = None  # the connection that carries it, which is for who carries it alone
         self.written = False  # its last byte is written: from then on it may have run
@@ -124,7 +124,7 @@
 
 
 class Answer(NamedTuple):
-    """What an app server said of an execution; `value`, if any, is what the client is told, as a whole."""
+    """What an app server said of an attempt; `value`, if any, is what the client is told, as a whole."""
 
     outcome: Outcome
     value: bytes = b""
@@ -133,7 +133,7 @@
 
 
 def terms_of(raw: bytes, span: Span) -> tuple[Fields, Span]:
-    """The names and values of a submission, and where the value of `d` stands."""
+    """The names and values of a request, and where the value of `d` stands."""
     found = raw[span[0] : span[1]]
     try:
         words = found.decode("ascii")
--- a/merlintally/net/roster.py
+++ b/merlintally/net/roster.py
@@ -4,10 +4,11 @@
 
 from collections.abc import Callable, Sequence
 
-from merlintally.choice import SATURATED, Gateway
+from merlintally.choice import Gateway
 from merlintally.interface import Outcome
 from merlintally.net.configuration import Deployment
 from merlintally.subsets import Listing, Subset
+from merlintally.subsets.pressure import waits_for_place
 
 ANSWERED: tuple[Outcome, ...] = ("ok", "error", "full")
 UNANSWERED: tuple[Outcome, ...] = ("timed_out", "unreachable", "broken")
@@ -22,16 +23,6 @@
     return Subset(facts.number, facts.gateways, deployment.subsets)
 
 
-def waits_for_place(gateway: Gateway, now: float) -> bool:
-    """Whether work waits though this node's servers answer easily: more of them have more places. Guards
-    against subsets that grow for nothing: where the whole fleet is too slow, and for work that waits only
-    since its customer has as much out as it may."""
-    if gateway.strain >= SATURATED or not any(gateway.lines.values()):
-        return False
-    full = gateway.allowed(now) - gateway.out < 0.5
-    return full or not any(server.has_place(now) for server in gateway.servers.values())
-
-
 class Roster:
     """Follows the list and the attempts, and tells what concerns the node's subset.
 
--- a/merlintally/net/servers.py
+++ b/merlintally/net/servers.py
@@ -1,4 +1,4 @@
-"""App servers: their connections, one execution on each at a time, and how executions end."""
+"""App servers: their connections, one attempt on each at a time, and how attempts end."""
 
 from __future__ import annotations
 
@@ -14,9 +14,9 @@
 from merlintally.net.configuration import Address, Deployment
 from merlintally.net.log import Log
 from merlintally.net.post import Owner
+from merlintally.net.requests import Answer, Attempt
 from merlintally.net.resp import array_at, bulk, line_end
 from merlintally.net.sockets import Allowance, Stream, connect, tcp_socket
-from merlintally.net.taken import Answer, Execution
 from merlintally.net.timers import Clock
 from merlintally.subsets import Listing
 
@@ -71,15 +71,15 @@
 
 
 class Link:
-    """One connection to an app server. It carries one execution at a time, so that none waits for another's
+    """One connection to an app server. It carries one attempt at a time, so that none waits for another's
     answer, and calling one off, which closes the connection, ends no other."""
 
-    def __init__(self, fleet: Fleet, server: Server, execution: Execution) -> None:
+    def __init__(self, fleet: Fleet, server: Server, attempt: Attempt) -> None:
         self.fleet, self.server = fleet, server
-        self.execution: Execution | None = execution
+        self.attempt: Attempt | None = attempt
         self.stream = Stream(tcp_socket(), fleet.held, waits=False)  # an answer frees more than it takes
         self.idle_since, self.dead, self.connected = 0.0, False, False
-        execution.link = self
+        attempt.link = self
 
     async def run(self) -> None:
         try:
@@ -102,25 +102,25 @@
             self.dead = True
             self.stream.close()
             self.fleet.forget(self)
-            if (execution := self.execution) is not None:
-                self.execution = None
-                await self.fleet.report(execution, Answer("broken" if execution.written else "unreachable"))
+            if (attempt := self.attempt) is not None:
+                self.attempt = None
+                await self.fleet.report(attempt, Answer("broken" if attempt.written else "unreachable"))
 
     async def _serve(self) -> None:
         with anyio.fail_after(self.fleet.connect_time_out):
             await connect(self.stream.sock, self.server.address)
         # Guards against what was decided before and is written now: to one that drains since, for a client
         # that has left, or a repeat that is no longer remembered.
-        late = self.execution is not None and (
-            self.execution.taken.gone or self.fleet.clock.now() >= self.execution.begin_by
+        late = self.attempt is not None and (
+            self.attempt.request.gone or self.fleet.clock.now() >= self.attempt.begin_by
         )
         if self.dead or late:
             return
         self.connected = True
-        if self.execution is None:  # called off while it connected: the next one may use it
+        if self.attempt is None:  # called off while it connected: the next one may use it
             self.fleet.rest(self)
         else:
-            self.begin(self.execution)
+            self.begin(self.attempt)
         fleet, stream = self.fleet, self.stream
         while await self._more():
             found = answer_at(stream.buffer, stream.start, stream.end, fleet.reported)
@@ -129,14 +129,14 @@
                     raise Malformed("an answer is beyond what is allowed")
                 continue
             answer, stream.start = found
-            execution = self.execution
-            if execution is None or (answer.outcome == "ok" and not execution.written):
+            attempt = self.attempt
+            if attempt is None or (answer.outcome == "ok" and not attempt.written):
                 raise Malformed("an answer came to no question")
-            self.execution = None
-            self.dead = self.dead or stream.start < stream.end or not execution.written
+            self.attempt = None
+            self.dead = self.dead or stream.start < stream.end or not attempt.written
             if not self.dead:
                 self.fleet.rest(self)
-            await fleet.report(execution, answer)
+            await fleet.report(attempt, answer)
             if self.dead:
                 return
 
@@ -148,23 +148,23 @@
             return await self.stream.receive()
         raise Malformed("an answer stopped short")
 
-    def begin(self, execution: Execution) -> None:
-        """Write an execution out; when that fails before its last byte, it has never run."""
-        self.execution, execution.link = execution, self
+    def begin(self, attempt: Attempt) -> None:
+        """Write an attempt out; when that fails before its last byte, it has never run."""
+        self.attempt, attempt.link = attempt, self
         try:
-            execution.written = self.stream.write(
-                execution.taken.message(execution.until - self.fleet.clock.now())
+            attempt.written = self.stream.write(
+                attempt.request.message(attempt.until - self.fleet.clock.now())
             )
         except OSError:
             self.end()
             return
-        if not execution.written:
-            self.fleet.group.start_soon(self._flush, execution)
+        if not attempt.written:
+            self.fleet.group.start_soon(self._flush, attempt)
 
-    async def _flush(self, execution: Execution) -> None:
+    async def _flush(self, attempt: Attempt) -> None:
         try:
             await self.stream.flush()
-            execution.written = not self.stream.unsent
+            attempt.written = not self.stream.unsent
         except OSError:
             self.end()
 
@@ -190,14 +190,14 @@
     def __init__(
         self,
         deployment: Deployment,
-        keeper: Owner,
+        dispatcher: Owner,
         clock: Clock,
         log: Log,
         group: TaskGroup,
         descriptors: Allowance,
         held: Allowance,
     ) -> None:
-        self.keeper, self.clock, self.log, self.group = keeper, clock, log, group
+        self.dispatcher, self.clock, self.log, self.group = dispatcher, clock, log, group
         self.descriptors, self.held, self.reported = descriptors, held, deployment.reported
         self.connect_time_out = deployment.connect_time_out
         self.rest_s, self.stall_s = deployment.bounds.rest_s, deployment.bounds.stall_s
@@ -205,7 +205,7 @@
         self.servers: dict[str, Server] = {}
 
     def roster(self, entries: Iterable[Listing], complete: bool) -> None:
-        """Take a list or its changes. What drains or is gone keeps its executions and gets nothing more."""
+        """Take a list or its changes. What drains or is gone keeps its attempts and gets nothing more."""
         named = set()
         for entry in entries:
             name, server = entry.facts.server, self.servers.get(entry.facts.server)
@@ -229,25 +229,25 @@
     def _drop_unused(self, server: Server) -> None:
         """End what stands idle, and what has still to connect: it must not send after the drain's grace."""
         for link in list(server.links):
-            if not link.connected or link.execution is None:
+            if not link.connected or link.attempt is None:
                 link.end()
         server.idle.clear()
 
-    def send(self, name: str, execution: Execution) -> bool:
-        """Begin an execution; False if it can't be and has never run."""
+    def send(self, name: str, attempt: Attempt) -> bool:
+        """Begin an attempt; False if it can't be and has never run."""
         server = self.servers.get(name)
         if server is None or server.presence != "on":
             return False
         while (link := self._rested(server)) is not None:
             if not link.dead and link.stream.quiet():  # guards against one that its server has closed
-                link.begin(execution)
+                link.begin(attempt)
                 return True
             link.end()
         if self.descriptors.full and not self._give_way():
             self.log.say("no descriptors are left for connections to app servers", "servers.descriptors")
             return False
         try:
-            link = Link(self, server, execution)
+            link = Link(self, server, attempt)
         except OSError as wrong:
             self.log.say(f"no connection can be opened: {wrong.strerror}", "servers.open")
             return False
@@ -270,15 +270,15 @@
         return None
 
     def busy(self, name: str) -> int:
-        """How many executions are out at an app server, or on their way to it."""
+        """How many attempts are out at an app server, or on their way to it."""
         server = self.servers.get(name)
-        return sum(link.execution is not None for link in server.links) if server is not None else 0
+        return sum(link.attempt is not None for link in server.links) if server is not None else 0
 
-    def call_off(self, execution: Execution) -> None:
+    def call_off(self, attempt: Attempt) -> None:
         """Stop waiting: the connection ends, so that nothing else is out on it."""
-        link = execution.link
-        if isinstance(link, Link) and link.execution is execution:
-            link.execution = None
+        link = attempt.link
+        if isinstance(link, Link) and link.attempt is attempt:
+            link.attempt = None
             if link.connected:
                 link.end()
 
@@ -295,9 +295,9 @@
         if link in link.server.idle:
             link.server.idle.remove(link)
 
-    async def report(self, execution: Execution, answer: Answer) -> None:
-        execution.answered = True
-        await self.keeper.post(self.keeper.ended, execution, answer)
+    async def report(self, attempt: Attempt, answer: Answer) -> None:
+        attempt.answered = True
+        await self.dispatcher.post(self.dispatcher.ended, attempt, answer)
 
     def sweep(self) -> None:
         """Retire what stands idle well before its server closes it: what crosses that may have run."""
--- /dev/null
+++ b/merlintally/subsets/pressure.py
@@ -0,0 +1,17 @@
+"""Whether a node's work waits for places in its subset, by its decisions (I/O-free)."""
+
+from __future__ import annotations
+
+from merlintally.choice import SATURATED, Gateway
+
+LEAST_ROOM = 0.5  # attempts that may go out beside those that are, below which there is no room
+
+
+def waits_for_place(gateway: Gateway, now: float) -> bool:
+    """Whether requests wait though this node's servers answer easily: more of them have more places. Guards
+    against subsets that grow for nothing: where the whole fleet is too slow, and for requests that wait only
+    since their customer has as much out as it may. `now` is in Unix seconds."""
+    if gateway.strain >= SATURATED or not any(gateway.lines.values()):
+        return False
+    full = gateway.allowed(now) - gateway.out < LEAST_ROOM
+    return full or not any(server.has_place(now) for server in gateway.servers.values())
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -20,8 +20,8 @@
 from merlintally.net.configuration import Listed, deployment_of, page
 from merlintally.net.log import Log
 from merlintally.net.polling import ObservedLoop
+from merlintally.net.requests import Request
 from merlintally.net.resp import array, array_at
-from merlintally.net.taken import Taken
 
 PLAN = PlanFacts("plan", 4.0, 8.0, 0, 8.0, 16.0, 1.0, 1.0, 0.0, 1.0)
 IDS = count(1)
@@ -124,16 +124,16 @@
     customer: bytes = b"00000000b4d65521",
     number: bytes = b"",
 ) -> bytes:
-    """A submission as a client writes it, each with an id of its own."""
+    """A request as a client writes it, each with an id of its own."""
     words = [name, customer, number or b"%016x" % next(IDS), terms]
     return array(*words, *([body] if name == b"Q.DO" else []))
 
 
-def taken(raw: bytes, client: Any = None, arrived: float = 100.0) -> Taken:
-    """A submission from its words, as a connection takes it; Malformed says what is wrong with them."""
+def taken(raw: bytes, client: Any = None, arrived: float = 100.0) -> Request:
+    """A request from its words, as a connection takes it; Malformed says what is wrong with them."""
     found = array_at(bytearray(raw), 0, len(raw))
     assert found is not None
-    return Taken(client, raw, [span for span in found[0] if span is not None], told().facts, arrived)
+    return Request(client, raw, [span for span in found[0] if span is not None], told().facts, arrived)
 
 
 class Standin:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -13,13 +13,13 @@
 
 from merlintally.net.clients import Client, Clients
 from merlintally.net.configuration import Bounds, page
-from merlintally.net.keeper import Keeper
+from merlintally.net.dispatcher import Dispatcher
 from merlintally.net.log import Log
 from merlintally.net.phases import Phase, Phases
+from merlintally.net.requests import Attempt
 from merlintally.net.resp import array
 from merlintally.net.servers import Fleet
 from merlintally.net.sockets import Allowance
-from merlintally.net.taken import Execution
 from merlintally.net.timers import Clock
 
 
@@ -60,7 +60,7 @@
     ids=["answers awaited", "pause for a fault", "no room"],
 )
 def test_a_client_that_leaves_behind_what_is_not_read_is_gone(behind: bytes, changes: dict[str, Any]) -> None:
-    """Its end stood behind bytes that the node did not read, and its execution went on to the hard limit."""
+    """Its end stood behind bytes that the node did not read, and its attempt went on to the hard limit."""
     at = silent()
 
     async def act(scene: Scene) -> None:
@@ -81,13 +81,13 @@
     clients = clients_of()
     client, theirs = client_of(clients)
     owed = [taken(said(), client) for _ in range(3)]
-    client.due.extend(owed)
+    client.pending.extend(owed)
     seen = list[bool]()
 
     async def post(*call: object) -> None:
         seen.extend(one.gone for one in owed)
 
-    clients.keeper = Mock(post=post)
+    clients.dispatcher = Mock(post=post)
     with theirs:
         anyio.run(client._gone)
     assert seen == [True] * 9
@@ -200,17 +200,17 @@
 
 def test_a_submission_read_after_all_has_ended_is_bounced_and_never_sent() -> None:
     """Sends of what came on connections still open went out with nobody left to hand on the answer."""
-    keeper = Keeper(told(), Clock(), Log("n", 9.0))
-    keeper.timers, keeper.fleet = Mock(), Mock()
-    keeper.listed(
+    dispatcher = Dispatcher(told(), Clock(), Log("n", 9.0))
+    dispatcher.timers, dispatcher.fleet = Mock(), Mock()
+    dispatcher.listed(
         page({"index": 1, "endpoints": [{"name": "s", "status": "SERVING", "address": "127.0.0.1:1"}]})[2],
         True,
     )
-    keeper.end_all()
+    dispatcher.end_all()
     late = taken(said(), Mock(), Clock().now())
-    keeper.take(late)
-    keeper.carry_out()
-    assert late.answer == [b"-BUSY\r\n"] and not keeper.fleet.send.called
+    dispatcher.take(late)
+    dispatcher.carry_out()
+    assert late.answer == [b"-BUSY\r\n"] and not dispatcher.fleet.send.called
 
 
 def test_a_connection_that_came_before_the_listener_closes_is_taken_beyond_the_descriptors() -> None:
@@ -252,17 +252,19 @@
 def test_what_was_decided_is_looked_up_again_when_its_connection_comes_up(change: str) -> None:
     """A connection that came up late carried a repeat out of its window, to one that drained, or for a client
     that had left."""
-    at, keeper, clock = silent(), Mock(post=AsyncMock()), Clock()
+    at, dispatcher, clock = silent(), Mock(post=AsyncMock()), Clock()
     deployment = told(known=known(at))
     one = taken(said(), Mock(), Clock().now())
 
     async def act() -> None:
         async with anyio.create_task_group() as group:
-            fleet = Fleet(deployment, keeper, clock, Log("n", 9.0), group, Allowance(9), Allowance(1 << 20))
+            fleet = Fleet(
+                deployment, dispatcher, clock, Log("n", 9.0), group, Allowance(9), Allowance(1 << 20)
+            )
             fleet.roster(deployment.known, True)
             now = clock.now()
-            execution = Execution(one, 1, now, now + 5.0, now if change == "late" else now + 5.0)
-            assert fleet.send("s0", execution)
+            attempt = Attempt(one, 1, now, now + 5.0, now if change == "late" else now + 5.0)
+            assert fleet.send("s0", attempt)
             one.gone = change == "gone"
             if change == "draining":
                 fleet.roster(
@@ -270,12 +272,12 @@
                     False,
                 )
             group.start_soon(at.run)
-            await until(lambda: keeper.post.called)
+            await until(lambda: dispatcher.post.called)
             group.cancel_scope.cancel()
 
     anyio.run(act)
     at.sock.close()
-    assert keeper.post.call_args.args[-1].outcome == "unreachable" and not at.heard
+    assert dispatcher.post.call_args.args[-1].outcome == "unreachable" and not at.heard
 
 
 def test_a_connection_that_its_server_is_about_to_close_is_not_used_between_two_sweeps() -> None:
--- a/tests/test_lists.py
+++ b/tests/test_lists.py
@@ -83,20 +83,20 @@
 
 def test_an_answer_that_crosses_a_move_of_discovery_is_not_taken() -> None:
     """Versions at the new address are others: an old answer's hid what the new one had to tell."""
-    keeper = Mock(post=AsyncMock())
+    dispatcher = Mock(post=AsyncMock())
 
     async def get(discovery: Discovery, *call: object) -> bytes:
         discovery.move(("127.0.0.1", 2))
         return listing(index=9).split(b"\r\n\r\n")[1]
 
     async def follow() -> int | None:
-        discovery = Discovery(("127.0.0.1", 1), 3, Bounds(), keeper, Mock(), Log("n", 9.0))
+        discovery = Discovery(("127.0.0.1", 1), 3, Bounds(), dispatcher, Mock(), Log("n", 9.0))
         await discovery._follow()
         return discovery.version
 
     with patch("merlintally.net.discovery.connect", AsyncMock()), patch.object(Discovery, "_get", get):
         assert anyio.run(follow) is None
-    assert not keeper.post.called
+    assert not dispatcher.post.called
 
 
 def test_an_agent_of_the_machine_that_is_silent_is_not_asked_ever_less() -> None:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -1,4 +1,4 @@
-"""A node among stand-ins: what becomes of submissions, connections, and the node itself."""
+"""A node among stand-ins: what becomes of requests, connections, and the node itself."""
 
 import io
 import json
@@ -40,9 +40,9 @@
 from merlintally.net.node import reread
 from merlintally.net.phases import Phase
 from merlintally.net.polling import ReadyTimes
+from merlintally.net.requests import PendingAnswer
 from merlintally.net.resp import array, bulk
 from merlintally.net.sockets import Allowance
-from merlintally.net.taken import Due
 from merlintally.net.timers import Clock
 
 ROOT = Path(__file__).parent.parent
@@ -75,7 +75,7 @@
 
 
 def test_what_may_have_run_is_no_bounce_unless_harmless() -> None:
-    """Guards against a bounce, which promises that trying again is harmless, for what may have run."""
+    """Guards against a rejection, which promises that trying again is harmless, for what may have run."""
     paid = said(b"Q.DO", b"c=pay,t=plan,d=1500,units=1,spread=1,first=0")
     assert heard_of(None, paid).startswith(b"-ERR")
     assert heard_of(b"-ERR failed\r\n", paid).startswith(b"-ERR")
@@ -84,7 +84,7 @@
 
 
 def test_an_answer_broken_off_at_any_point_is_never_passed_on() -> None:
-    """Guards against a value that no app server gave whole; what may have run is no bounce."""
+    """Guards against a value that no app server gave whole; what may have run is no rejection."""
     paid, heard = said(b"Q.DO", b"c=pay,t=plan,d=1500,units=1,spread=1,first=0"), list[bytes]()
 
     async def act(scene: Scene) -> None:
@@ -111,7 +111,7 @@
 
 
 def test_commands_behind_one_another_are_answered_in_order() -> None:
-    """Guards against answers that overtake: the first is slow, and things beside submissions come at once."""
+    """Guards against answers that overtake: the first is slow, and things beside requests come at once."""
     at, heard = server(), list[bytes]()
 
     async def act(scene: Scene) -> None:
@@ -162,7 +162,7 @@
 
 
 def test_silent_dripping_and_half_said_connections_are_closed_in_time() -> None:
-    """Guards against connections held for good by clients that never bring a submission."""
+    """Guards against connections held for good by clients that never bring a request."""
     bounds, at = Bounds(client_patience_s=0.3, client_rest_s=0.1), server()
 
     async def act(scene: Scene) -> None:
@@ -450,7 +450,7 @@
 
 
 def test_the_counter_decides_and_its_silence_is_bounded() -> None:
-    """Full, broken, silent or malformed, a submission is decided all the same; a total told is believed."""
+    """Full, broken, silent or malformed, a request is decided all the same; a total told is believed."""
 
     def total(of: bytes) -> bytes:
         return b"ok %b\r\n" % of
@@ -647,7 +647,7 @@
         held=Allowance(1 << 20), clock=Clock(), bounds=Bounds(), group=Mock(), ready_times=ReadyTimes()
     )
     client = Client(clients, ours)
-    client.due.append(Due([b"x" * (8 << 20)]))
+    client.pending.append(PendingAnswer([b"x" * (8 << 20)]))
     with theirs:
         client.pass_on()
         assert clients.held.full and clients.group.start_soon.called
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -24,7 +24,7 @@
     read_deployment,
 )
 from merlintally.net.counter import PART, Call, Counter, outcome_of
-from merlintally.net.keeper import Keeper
+from merlintally.net.dispatcher import Dispatcher
 from merlintally.net.log import Log
 from merlintally.net.phases import Phase, Phases
 from merlintally.net.resp import array, array_at
@@ -170,28 +170,33 @@
     """Guards against sends that the decisions hold to be out for good, and a wake-up lost with them: both
     calls come through the queue before what is wanted of the first is done."""
     log = io.StringIO()
-    keeper = Keeper(told(), Clock(), Log("n", 9.0, log))
-    keeper.timers = keeper.fleet = others = Mock()
+    dispatcher = Dispatcher(told(), Clock(), Log("n", 9.0, log))
+    dispatcher.timers = dispatcher.fleet = others = Mock()
     rows = [{"name": "s", "status": "SERVING", "address": "127.0.0.1:1"}]
-    keeper.listed(page({"index": 1, "endpoints": rows})[2], True)
+    dispatcher.listed(page({"index": 1, "endpoints": rows})[2], True)
     one = taken(said())
-    one.ends = keeper.clock.now() + 1.0
-    keeper.take(one)
-    assert keeper.gateway.out == 1
-    keeper.left(one)
-    keeper.carry_out()
-    assert (keeper.gateway.out, keeper.taken, keeper.ids, log.getvalue()) == (0, {}, set(), "")
+    one.ends = dispatcher.clock.now() + 1.0
+    dispatcher.take(one)
+    assert dispatcher.gateway.out == 1
+    dispatcher.left(one)
+    dispatcher.carry_out()
+    assert (dispatcher.gateway.out, dispatcher.open_requests, dispatcher.ids, log.getvalue()) == (
+        0,
+        {},
+        set(),
+        "",
+    )
     assert others.at.called and not others.send.called
 
 
 def test_a_row_that_fails_takes_no_other_with_it() -> None:
-    """Guards against bounces, calls and the wake-up lost behind it."""
+    """Guards against rejections, calls and the wake-up lost behind it."""
     log = io.StringIO()
-    keeper = Keeper(told(), Clock(), Log("n", 9.0, log))
-    keeper.timers = keeper.counter = others = Mock()
-    keeper.gateway.results.sends.append((7, "s", 0.0))
-    keeper.gateway.results.adds.append((5, 1.0, 60.0))
-    keeper.carry_out()
+    dispatcher = Dispatcher(told(), Clock(), Log("n", 9.0, log))
+    dispatcher.timers = dispatcher.counter = others = Mock()
+    dispatcher.gateway.results.sends.append((7, "s", 0.0))
+    dispatcher.gateway.results.adds.append((5, 1.0, 60.0))
+    dispatcher.carry_out()
     assert others.add.call_args.args == (5, 1.0, 60.0) and "failed" in log.getvalue()
 
 
@@ -209,9 +214,9 @@
 def test_a_call_that_no_connection_took_ends_at_its_time_all_the_same() -> None:
     """Guards against a customer left waiting: the connection is lost, and that is not yet reported."""
     over = list[object]()
-    keeper: Any = SimpleNamespace(counted=lambda *row: over.append(row[1]))
+    dispatcher: Any = SimpleNamespace(counted=lambda *row: over.append(row[1]))
     timers: Any = None
-    counter = Counter(("127.0.0.1", 1), 0.08, bounds_of({}), keeper, Clock(), timers, Log("n", 1.0))
+    counter = Counter(("127.0.0.1", 1), 0.08, bounds_of({}), dispatcher, Clock(), timers, Log("n", 1.0))
     call = Call(7, b"tally 7 1 60000\r\n", 0.0)
     counter.unsent.append(call)
     counter.expired(call)
@@ -384,42 +389,42 @@
         page(json.loads(body))
 
 
-def presences(keeper: Keeper) -> dict[str, str]:
-    return {name: one.presence for name, one in keeper.gateway.servers.items()}
+def presences(dispatcher: Dispatcher) -> dict[str, str]:
+    return {name: one.presence for name, one in dispatcher.gateway.servers.items()}
 
 
 def test_a_server_taken_out_for_work_gets_nothing_new_and_a_parked_node_takes_nothing() -> None:
     log = io.StringIO()
-    keeper = Keeper(told(), Clock(), Log("n", 9.0, log))
-    keeper.timers = keeper.counter = others = Mock()
-    keeper.fleet, keeper.shown = others, {}
+    dispatcher = Dispatcher(told(), Clock(), Log("n", 9.0, log))
+    dispatcher.timers = dispatcher.counter = others = Mock()
+    dispatcher.fleet, dispatcher.shown = others, {}
     rows = [{"name": name, "address": "127.0.0.1:9", "group": 0, "status": "SERVING"} for name in ("s", "t")]
-    keeper.listed(page({"index": 1, "endpoints": rows})[2], True)
-    keeper.take_out(frozenset({"s", "unlisted"}))
-    assert presences(keeper) == {"s": "draining", "t": "on"}
-    keeper.listed(page({"index": 2, "endpoints": rows})[2], True)  # discovery lists it as on once more
-    assert presences(keeper) == {"s": "draining", "t": "on"}
-    keeper.take_out(frozenset())
-    assert presences(keeper) == {"s": "on", "t": "on"}
-    keeper.right, one = Mock(), Mock(answer=None, gone=False)
-    keeper.right.may_take.return_value = False
-    keeper.take(one)
-    assert (one.answer, keeper.taken, log.getvalue()) == ([b"-BUSY\r\n"], {}, "")
+    dispatcher.listed(page({"index": 1, "endpoints": rows})[2], True)
+    dispatcher.take_out(frozenset({"s", "unlisted"}))
+    assert presences(dispatcher) == {"s": "draining", "t": "on"}
+    dispatcher.listed(page({"index": 2, "endpoints": rows})[2], True)  # discovery lists it as on once more
+    assert presences(dispatcher) == {"s": "draining", "t": "on"}
+    dispatcher.take_out(frozenset())
+    assert presences(dispatcher) == {"s": "on", "t": "on"}
+    dispatcher.right, one = Mock(), Mock(answer=None, gone=False)
+    dispatcher.right.may_take.return_value = False
+    dispatcher.take(one)
+    assert (one.answer, dispatcher.open_requests, log.getvalue()) == ([b"-BUSY\r\n"], {}, "")
 
 
 def test_a_send_that_the_right_forbids_by_now_is_no_send() -> None:
     """Guards against a process stopped between its decision and its send, and continued much later."""
-    keeper = Keeper(told(), Clock(), Log("n", 9.0, io.StringIO()))
-    keeper.timers, keeper.fleet, keeper.right = Mock(), Mock(), Mock()
-    keeper.right.may_take.return_value = True
-    keeper.right.may_send.return_value = False
-    keeper.listed(
+    dispatcher = Dispatcher(told(), Clock(), Log("n", 9.0, io.StringIO()))
+    dispatcher.timers, dispatcher.fleet, dispatcher.right = Mock(), Mock(), Mock()
+    dispatcher.right.may_take.return_value = True
+    dispatcher.right.may_send.return_value = False
+    dispatcher.listed(
         page({"index": 1, "endpoints": [{"name": "s", "status": "SERVING", "address": "127.0.0.1:1"}]})[2],
         True,
     )
     one = taken(said())
-    one.ends = keeper.clock.now() + 1.0
-    keeper.take(one)
-    keeper.carry_out()
-    assert keeper.right.may_send.call_args.args == ("s",) and not keeper.fleet.send.called
-    assert one.out == {} and keeper.gateway.out == 0
+    one.ends = dispatcher.clock.now() + 1.0
+    dispatcher.take(one)
+    dispatcher.carry_out()
+    assert dispatcher.right.may_send.call_args.args == ("s",) and not dispatcher.fleet.send.called
+    assert one.out == {} and dispatcher.gateway.out == 0
--- a/tests/test_subsets.py
+++ b/tests/test_subsets.py
@@ -18,7 +18,7 @@
 from merlintally.lab.schedules.subsets import joined, play
 from merlintally.net import EdgeNode
 from merlintally.net.configuration import Listed
-from merlintally.net.keeper import Keeper
+from merlintally.net.dispatcher import Dispatcher
 from merlintally.net.log import Log
 from merlintally.net.roster import subset_of
 from merlintally.net.timers import Clock
@@ -289,11 +289,11 @@
 # The node.
 
 
-def keeper_of(terms: Terms | None, count: int, shown: bool = False) -> Keeper:
-    """A keeper that has heard a list; what it would do on sockets is kept from it."""
+def keeper_of(terms: Terms | None, count: int, shown: bool = False) -> Dispatcher:
+    """A dispatcher that has heard a list; what it would do on sockets is kept from it."""
     deployment = told(subsets=terms)
     facts = replace(deployment.facts, number=3, gateways=NODES)
-    made = Keeper(replace(deployment, facts=facts), Clock(), Log("n", 9.0))
+    made = Dispatcher(replace(deployment, facts=facts), Clock(), Log("n", 9.0))
     made.fleet = FleetStandin()  # type: ignore[assignment]
     made.shown = {} if shown else None
     made.listed([Listed(*entry) for entry in entries(count)], True)
@@ -353,7 +353,7 @@
 
 
 class Line:
-    """Stands in for a submission that waits; the decisions drop it as soon as they look at it."""
+    """Stands in for a request that waits; the decisions drop it as soon as they look at it."""
 
     closed = True
 
@@ -378,20 +378,20 @@
     assert len(made.gateway.servers) > before and made.gateway.sharing == 2
 
 
-Act = Callable[[Scene, Keeper], Awaitable[None]]
+Act = Callable[[Scene, Dispatcher], Awaitable[None]]
 
 
 def run_node(
     standins: Sequence[Standin], terms: Terms, nodes: int, asks: int, act_more: Act | None = None
-) -> tuple[list[bytes], list[int], list[Keeper]]:
-    """A node of `nodes` with the stand-ins listed by discovery; how each was heard, and its keeper."""
+) -> tuple[list[bytes], list[int], list[Dispatcher]]:
+    """A node of `nodes` with the stand-ins listed by discovery; how each was heard, and its dispatcher."""
     discovery = Standin(lambda heard: listing(*standins) if len(discovery.heard) == 1 else b"")
     deployment = told(known=known(*standins), discovery=discovery.address, subsets=terms)
     deployment = replace(deployment, facts=replace(deployment.facts, gateways=nodes, number=0))
-    heard, keepers = list[bytes](), list[Keeper]()
+    heard, dispatchers = list[bytes](), list[Dispatcher]()
 
-    async def part(node: EdgeNode, keeper: Keeper) -> None:
-        keepers.append(keeper)
+    async def part(node: EdgeNode, dispatcher: Dispatcher) -> None:
+        dispatchers.append(dispatcher)
         await anyio.sleep_forever()
 
     async def act() -> None:
@@ -400,24 +400,24 @@
             for standin in (*standins, discovery):
                 group.start_soon(standin.run)
             await group.start(node.serve)
-            await until(lambda: bool(keepers))
+            await until(lambda: bool(dispatchers))
             for _ in range(asks):
                 heard.append(await Scene(node).ask(said()))
             if act_more is not None:
-                await act_more(Scene(node), keepers[0])
+                await act_more(Scene(node), dispatchers[0])
             group.cancel_scope.cancel()
 
     anyio.run(act)
     for standin in (*standins, discovery):
         standin.sock.close()
-    return heard, [len(standin.heard) for standin in standins], keepers
+    return heard, [len(standin.heard) for standin in standins], dispatchers
 
 
 def test_a_node_sends_to_its_subset_alone() -> None:
     terms = Terms(size=4, whole_up_to=5, least=2)
     standins = [server() for _ in range(16)]
-    heard, sent, (keeper,) = run_node(standins, terms, 8, 30)
-    inside = {int(name[1:]) for name in keeper.gateway.servers}
+    heard, sent, (dispatcher,) = run_node(standins, terms, 8, 30)
+    inside = {int(name[1:]) for name in dispatcher.gateway.servers}
     assert heard == [HI] * 30 and 2 <= len(inside) < 10
     assert all((at in inside) or not count for at, count in enumerate(sent)) and sum(sent) == 30
 
@@ -426,8 +426,8 @@
     terms = Terms(size=4, whole_up_to=5, least=2, unanswered=1)
     joins = [Descent(0, 8).joins_at(f"s{at}") for at in range(16)]
     standins = [server(None) if join <= 1 else server() for join in joins]
-    heard, sent, (keeper,) = run_node(standins, terms, 8, 30)
-    assert keeper.subset is not None and keeper.subset.level > 1
+    heard, sent, (dispatcher,) = run_node(standins, terms, 8, 30)
+    assert dispatcher.subset is not None and dispatcher.subset.level > 1
     assert heard.count(HI) >= 20 and any(count for join, count in zip(joins, sent, strict=True) if join > 1)
 
 
@@ -436,19 +436,19 @@
     standins = [server() for _ in range(16)]
     answers = list[bytes]()
 
-    async def act(scene: Scene, keeper: Keeper) -> None:
+    async def act(scene: Scene, dispatcher: Dispatcher) -> None:
         gate = anyio.Event()
         for standin in standins:
             standin.gate = gate
         with await scene.connect() as sock:
             sock.sendall(said())
             await until(lambda: any(standin.heard for standin in standins))
-            await keeper.post(keeper._tell_roster, [], True)
+            await dispatcher.post(dispatcher._tell_roster, [], True)
             sock.sendall(said())
-            await until(lambda: len(keeper.taken) == 2)
+            await until(lambda: len(dispatcher.open_requests) == 2)
             gate.set()
             answers.append(await scene.hear(sock, until=1))
-            assert sum(len(standin.heard) for standin in standins) == 1 and len(keeper.taken) == 1
+            assert sum(len(standin.heard) for standin in standins) == 1 and len(dispatcher.open_requests) == 1
 
     run_node(standins, terms, 8, 0, act)
     assert answers == [HI]
