--- a/merlintally/lab/scale/receiver.py
+++ b/merlintally/lab/scale/receiver.py
@@ -34,8 +34,8 @@
 class Receiver:
     """What an edge node does with an answer of discovery."""
 
-    def __init__(self, nodes: int) -> None:
-        told, clock = deployment(nodes), Clock()
+    def __init__(self, nodes: int, whole_lists: bool = False) -> None:
+        told, clock = deployment(nodes, whole_lists=whole_lists), Clock()
         log = Log(told.name, told.bounds.log_lines)
         self.dispatcher = Dispatcher(told, clock, log)
         self.dispatcher.fleet = fleet_of(told, self.dispatcher, clock, log)
