Red: a node that ends with one connection, and wake-ups that never come again

Seen on reading, then forced: a task that writes the rest of an answer or a request waits in wait_writable; when the connection is closed meanwhile it raises ClosedResourceError, which is no OSError and ends the task group of the whole node. A wake-up handed out a little before its alarm (the clock follows a wall clock that was stepped back) leaves the alarm in the past, and no further one is ever set.

--- /dev/null
+++ b/tests/test_faults.py
@@ -0,0 +1,92 @@
+"""Faults that two or three rare events make together: each test forces the order in which it breaks."""
+
+from __future__ import annotations
+
+import socket
+
+import anyio
+import pytest
+from helpers import OK, Scene, Standin, gateway, known, play, said, server, take, told, until
+
+from merlintally.net import servers
+from merlintally.net.resp import array
+from merlintally.net.sockets import tcp_socket
+
+LONG = b"x" * 60_000
+LONG_ANSWER = b"*3\r\n$60000\r\n" + LONG + b"\r\n$-1\r\n$-1\r\n"
+
+
+def small_buffers(sock: socket.socket) -> socket.socket:
+    """A socket on which large messages stay half-written."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    return sock
+
+
+async def still_serves(scene: Scene) -> None:
+    assert await scene.ask(array(b"PING")) == b"+PONG\r\n"
+
+
+def test_a_client_that_ends_its_side_over_unread_answers_ends_no_other() -> None:
+    standin = server(LONG_ANSWER)
+
+    async def act(scene: Scene) -> None:
+        assert scene.node.listener is not None
+        small_buffers(scene.node.listener)
+        with small_buffers(socket.socket()) as sock:
+            sock.connect(scene.node.address)
+            sock.sendall(said())
+            await until(lambda: len(standin.heard) == 1)
+            await anyio.sleep(0.1)  # its answer has come, and is more than the system holds
+            sock.shutdown(socket.SHUT_WR)
+            await anyio.sleep(0.2)
+            await still_serves(scene)
+
+    play(told(known=known(standin)), act, standin)
+
+
+def test_an_answer_that_comes_before_all_of_its_request_is_written_ends_nothing_else(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """An app server turns a long request away, or noise comes, while the rest of it can't be written yet."""
+    monkeypatch.setattr(servers, "tcp_socket", lambda: small_buffers(tcp_socket()))
+    listener = small_buffers(socket.create_server(("127.0.0.1", 0)))
+
+    class EarlyAnswer(Standin):
+        async def _speak(self, sock: socket.socket) -> None:
+            with sock:
+                await anyio.sleep(0.05)
+                sock.sendall(b"-BUSY\r\n")
+                await anyio.sleep(1.0)
+
+    standin = EarlyAnswer(lambda heard: OK)
+    standin.sock.close()
+    standin.sock, standin.address = listener, listener.getsockname()
+    listener.setblocking(False)
+    terms = b"c=order,t=plan,d=1500,k=key,units=1,spread=1,first=0"
+
+    async def act(scene: Scene) -> None:
+        answers = []
+
+        async def ask() -> None:
+            answers.append(await scene.ask(said(b"Q.DO", terms, body=LONG)))
+
+        async with anyio.create_task_group() as group:
+            for _ in range(3):
+                group.start_soon(ask)
+        assert all(answers), "a request without its final answer"
+        await still_serves(scene)
+
+    play(told(known=known(standin)), act, standin)
+
+
+def test_a_wake_up_that_comes_a_little_early_is_set_anew() -> None:
+    """The clock may have moved back by some milliseconds between a timer and the call it makes."""
+    at = gateway()
+    handle = take(at, units=2.0)
+    results = at.take_results(100.0)
+    assert results.wake_after is not None and not handle.closed
+    due = 100.0 + results.wake_after
+    at.wake(due - 0.001)
+    wakes = [at.take_results(now).wake_after for now in (due - 0.001, due, due + 1.0)]
+    assert any(wake is not None for wake in wakes), "no wake-up is set any more"
