One connection's end ends no other; a wake-up passed over is set anew

Cause: Stream.flush and Stream.receive let anyio's ClosedResourceError out where another task closes the connection (Client._gone, Link.run); the tasks Client._flush and Link._flush know OSError alone, and their group is the node's. Gateway.take_results sets a wake-up only before the one it believes in, also where that one lies in the past. Change: a closed connection is the end of a read or a flush; a wake-up 0.25 s overdue counts as lost.

--- a/merlintally/choice.py
+++ b/merlintally/choice.py
@@ -38,6 +38,7 @@
 COLD_SAFETY = 0.5  # part of the stated budget of a cold server that is used
 LOOKED_AT, MARGIN = 16, 0.03  # pieces passed over in a line; seconds before a hard limit without a new one
 TICK = (0.03, 0.1, 0.5)  # seconds between wake-ups while anything waits, while submissions are open, and else
+LOST = 0.25  # seconds after its time from which a wake-up counts as lost, and another is set
 NO_QUOTA = PlanFacts("", 0, 0, 0, 0, 0, 0, 0, 0, 0)  # of plans never stated: nothing is let in
 
 
@@ -68,6 +69,7 @@
     def __init__(self, key: str, plan: PlanFacts, gateways: int, now: float, uptime: float) -> None:
         self.key, self.plan, self.gateways = key, plan, gateways
         self.phase, self.soft = phase(key) * KEEP, plan.beyond_gain > plan.beyond_cost
+        self.wall_shift = 0.0  # by which the clock that epochs are named by is ahead of `now`
         self.store = self.spare = plan.burst  # the second as last heard, above the burst where little is used
         self.limiting, self.others, self.untold, self.extra = float("inf"), 0.0, 0.0, 0.0
         self.heard, self.at, self.seen, self.sure = -KEEP, now, now, False
@@ -154,7 +156,7 @@
 
     def epoch(self, now: float) -> tuple[int, float]:
         """The name of the count that holds now, and for how long it has; each epoch has one of its own."""
-        number, passed = divmod(now + self.phase, KEEP)
+        number, passed = divmod(now + self.wall_shift + self.phase, KEEP)
         return count_name(self.key, int(number)), passed
 
     def news(self, total: float, added: float, now: float) -> None:
@@ -352,6 +354,7 @@
         self.pace, self.calls, self.crowded = PACE / facts.gateways, 1.0, CROWDED * facts.count_time_out
         self.answers, self.out, self.strain, self.worth, self.worth_at = 0, 0, 1.0, 1.0, -1.0
         self.started = self.paced_at = self.fitted = self.swept = now
+        self.wall_shift = 0.0
         others, self.peers = facts.gateways - 1, dict[int, float]()  # when each was last heard
         self.sharing = facts.gateways  # how many of them send to one server
         self.noting = facts.may_note and 0 < facts.note_price * others * ROW.size / 256 < facts.count_price
@@ -373,6 +376,7 @@
         if (customer := self.customers.get(key)) is None:
             plan, gateways = self.plans.get(plan_name, NO_QUOTA), max(1, gateways or self.facts.gateways)
             customer = self.customers[key] = Customer(key, plan, gateways, now, now - self.started)
+            customer.wall_shift = self.wall_shift
             self.marks[customer.mark] = customer
             # Guards against hundreds of gateways that each let one in unasked where use beyond costs: the
             # more first news tell of empty stores, the fewer, down to the even part.
@@ -389,6 +393,13 @@
             self.pull(now)
         return handle
 
+    def follow_wall(self, shift: float) -> None:
+        """The wall clock is `shift` seconds ahead of `now` from here on. Guards against gateways that started
+        before it was stepped and after, and would name the counts of one customer otherwise."""
+        self.wall_shift = shift
+        for customer in self.customers.values():
+            customer.wall_shift = shift
+
     def share(self, gateways: int) -> None:
         """So many gateways send to one server from now on: each has its part of the places there."""
         factor, self.sharing, self.worth_at = self.sharing / gateways, gateways, -1.0
@@ -485,7 +496,8 @@
             self.noted_at = now
         soon = any(self.lines.values()) or self.asking
         after = TICK[0] if soon else TICK[1] if self.open else TICK[2]
-        if not self.alarm or now + after < self.alarm - 0.0005:
+        lost = now - self.alarm > LOST  # guards against none for good, where one was passed over as too early
+        if not self.alarm or lost or now + after < self.alarm - 0.0005:
             self.alarm, self.results.wake_after = now + after, after
         results, self.results = self.results, Results()
         return results
--- a/merlintally/net/sockets.py
+++ b/merlintally/net/sockets.py
@@ -70,9 +70,12 @@
         self.unsent: list[Buffer] = []
 
     async def receive(self) -> int:
-        """Wait for more bytes; 0 when the other side has ended or the connection is broken."""
+        """Wait for more bytes; 0 when the other side has ended or the connection is broken or closed."""
         while not self.closed:
-            await anyio.wait_readable(self.sock)
+            try:
+                await anyio.wait_readable(self.sock)
+            except anyio.ClosedResourceError:  # another task has closed it meanwhile
+                break
             if self.closed:
                 break
             self._make_room()
@@ -117,8 +120,13 @@
         return not self.unsent
 
     async def flush(self) -> None:
+        """Write what is left, or as much as can be until the connection is closed by another task. Guards
+        against a fault of one connection that ends the group of tasks, and the node with it."""
         while self.unsent and not self.closed:
-            await anyio.wait_writable(self.sock)
+            try:
+                await anyio.wait_writable(self.sock)
+            except anyio.ClosedResourceError:
+                return
             if not self.closed:
                 self.unsent = gather(self.sock, self.unsent)
 
