--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -3,14 +3,21 @@
 from __future__ import annotations
 
 import socket
+import time
+from unittest.mock import Mock
 
 import anyio
 import pytest
 from helpers import OK, Scene, Standin, gateway, known, play, said, server, take, told, until
 
+from merlintally.interface import ServerFacts
 from merlintally.net import servers
+from merlintally.net.configuration import Listed
+from merlintally.net.dispatcher import Dispatcher
+from merlintally.net.log import Log
 from merlintally.net.resp import array
 from merlintally.net.sockets import tcp_socket
+from merlintally.net.timers import Clock
 
 LONG = b"x" * 60_000
 LONG_ANSWER = b"*3\r\n$60000\r\n" + LONG + b"\r\n$-1\r\n$-1\r\n"
@@ -90,3 +97,67 @@
     at.wake(due - 0.001)
     wakes = [at.take_results(now).wake_after for now in (due - 0.001, due, due + 1.0)]
     assert any(wake is not None for wake in wakes), "no wake-up is set any more"
+
+
+# The wall clock is stepped.
+
+WALL_TIME = time.time
+STEPS = [3600.0, -3600.0, 3.0, -3.0]
+
+
+class Wall:
+    """The system's wall clock, which may be stepped; the monotonic one runs on."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.ahead_s = 0.0
+        monkeypatch.setattr(time, "time", lambda: WALL_TIME() + self.ahead_s)
+
+
+def start_told(dispatcher: Dispatcher, started: float) -> float:
+    """Have a server listed that started at `started` (wall clock); gives how old it is taken for."""
+    entry = Listed(ServerFacts("s1", "on", "z", 0, started, 1.0, "m"), ("127.0.0.1", 1))
+    dispatcher.listed([entry], True)
+    return dispatcher.clock.now() - dispatcher.gateway.servers["s1"].started
+
+
+def dispatcher_alone() -> Dispatcher:
+    dispatcher = Dispatcher(told(), Clock(), Log("n", 9.0))
+    dispatcher.fleet = Mock()
+    return dispatcher
+
+
+def test_a_server_that_starts_after_a_step_of_the_wall_clock_is_cold(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    for step in STEPS:
+        wall, dispatcher = Wall(monkeypatch), dispatcher_alone()
+        wall.ahead_s = step
+        assert 0 <= start_told(dispatcher, time.time() - 1.0) < 1.5
+
+
+def test_a_server_that_started_before_a_step_of_the_wall_clock_is_cold_and_becomes_warm(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    for step in STEPS:
+        wall, dispatcher = Wall(monkeypatch), dispatcher_alone()
+        stated = time.time() - 1.0
+        wall.ahead_s = step
+        assert 0 <= start_told(dispatcher, stated) < 1.5
+        dispatcher.clock.offset += 20.0  # which is what passes on the monotonic clock
+        assert 19.0 < start_told(dispatcher, stated) < 22.0
+
+
+def test_all_gateways_name_a_customers_count_alike_after_a_step_of_the_wall_clock(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    for step in STEPS:
+        wall, before = Wall(monkeypatch), dispatcher_alone()
+        take(before.gateway, now=before.clock.now(), key="c")
+        wall.ahead_s = step
+        after = dispatcher_alone()
+        start_told(before, 0.0)  # anything that comes later
+        names = set()
+        for dispatcher in (before, after):
+            take(dispatcher.gateway, 2, now=dispatcher.clock.now(), key="c")
+            names.add(dispatcher.gateway.customers["c"].epoch(dispatcher.clock.now())[0])
+        assert len(names) == 1
