Real time runs by the monotonic clock; starts and epochs follow the wall clock's steps

Cause: Clock.follow moved the node's clock towards the wall clock by 1 ms each half second, for hours after a step. Change: Clock never follows. WallSteps remembers the steps, seen twice a second and before each list; StartTimes reads a stated start as the latest moment, not after now, that any of them allows, once for each start. Bounded: a node that starts within warmWithinS after a step forward knows no older clock.

--- a/merlintally/net/dispatcher.py
+++ b/merlintally/net/dispatcher.py
@@ -18,6 +18,7 @@
 from merlintally.net.roster import Roster, subset_of
 from merlintally.net.servers import Fleet
 from merlintally.net.sockets import Buffer
+from merlintally.net.start_times import StartTimes
 from merlintally.net.timers import Clock, Timers
 from merlintally.subsets import Listing
 
@@ -43,6 +44,7 @@
         self.gateway = Gateway(deployment.facts, deployment.seed, clock.now())
         self.subset, self.subset_level = subset_of(deployment), 0  # as last told in the log
         self.roster = Roster(self.subset, self.gateway, self._tell_roster)
+        self.start_times = StartTimes(clock.wall)
         self.fleet: Fleet
         self.timers: Timers
         self.counter: Counter | None = None
@@ -177,6 +179,8 @@
             self.ended(attempt, Answer("timed_out" if attempt.written else "unreachable"))
 
     def listed(self, entries: list[Listed], complete: bool) -> None:
+        self.look_at_wall()  # before starts are read: they may come from a clock that was stepped just now
+        entries = self.start_times.listed(self.clock.now(), entries, complete)
         if self.shown is not None:
             if complete:
                 self.shown.clear()
@@ -188,6 +192,12 @@
             entries = [self._as_agreed(entry) for entry in entries]
         self.roster.listed(self.clock.now(), entries, complete)
 
+    def look_at_wall(self) -> None:
+        """Follow the wall clock, by which all nodes name the counts of an epoch alike."""
+        if step := self.clock.look_at_wall():
+            self.log.say(f"the wall clock was stepped by {step:.3f} s", "clock.stepped", step_s=step)
+            self.gateway.follow_wall(self.clock.wall.shift)
+
     def take_out(self, servers: frozenset[str]) -> None:
         """These app servers, and no others, are out for work: to them nothing new is sent."""
         assert self.shown is not None, "nothing was kept of what is listed"
--- a/merlintally/net/node.py
+++ b/merlintally/net/node.py
@@ -127,7 +127,7 @@
                 dispatcher.run,
                 timers.run,
                 discovery.run,
-                partial(self._sweep, clock, clients, fleet),
+                partial(self._sweep, dispatcher, clients, fleet),
             ]
             if told.counter is not None:
                 time_out = told.facts.count_time_out
@@ -189,10 +189,10 @@
         while dispatcher.open_requests or any(not client.finished for client in clients.connections):
             await anyio.sleep(0.02)
 
-    async def _sweep(self, clock: Clock, clients: Clients, fleet: Fleet) -> None:
+    async def _sweep(self, dispatcher: Dispatcher, clients: Clients, fleet: Fleet) -> None:
         while True:
             await anyio.sleep(0.5)
-            clock.follow()
+            await dispatcher.post(dispatcher.look_at_wall)
             clients.sweep()
             fleet.sweep()
 
--- a/merlintally/net/timers.py
+++ b/merlintally/net/timers.py
@@ -10,21 +10,24 @@
 import anyio
 
 from merlintally.net.log import Log
-
-SLEW = 0.001  # seconds by which the clock may move towards the system's at each look
+from merlintally.net.start_times import WallSteps
 
 
 class Clock:
-    """Unix time, as all machines read it, that neither jumps nor runs backwards when it is set anew."""
+    """Unix time as it was when the clock was made, and real seconds since. Guards against deadlines, windows
+    and graces that shrink or stretch, and wake-ups that are missed, where the wall clock is stepped."""
 
     def __init__(self) -> None:
         self.offset = time.time() - time.monotonic()
+        self.wall = WallSteps()
 
     def now(self) -> float:
+        """Seconds; never runs backwards."""
         return time.monotonic() + self.offset
 
-    def follow(self) -> None:
-        self.offset += max(-SLEW, min(SLEW, time.time() - self.now()))
+    def look_at_wall(self) -> float:
+        """Whether the wall clock was stepped since the last look: by how many seconds, 0 for not at all."""
+        return self.wall.look(time.time(), self.now())
 
 
 class Timers:
