Red: requests lost where accept, reads or writes fail, and read ones at a leave's end

Forced on a real node by socket calls that fail for 0.1 to 0.7 s, and by a leave while one command is open and two more are read. Three tests fail: the backlog is reset with the listener (ENFILE, ENOBUFS, ECONNABORTED, ENETUNREACH at accept), a client's connection is closed on ENOBUFS, ENOMEM, EHOSTUNREACH or ETIMEDOUT, and two of three commands get no answer.

--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -2,17 +2,35 @@
 
 from __future__ import annotations
 
+import errno
 import socket
 import time
+from collections.abc import Callable
+from typing import Any
 from unittest.mock import Mock
 
 import anyio
 import pytest
-from helpers import OK, Scene, Standin, gateway, known, play, said, server, take, told, until
+from helpers import (
+    HI,
+    OK,
+    Scene,
+    Standin,
+    answers_in,
+    gateway,
+    known,
+    play,
+    said,
+    server,
+    silent,
+    take,
+    told,
+    until,
+)
 
 from merlintally.interface import ServerFacts
 from merlintally.net import servers
-from merlintally.net.configuration import Listed
+from merlintally.net.configuration import Bounds, Listed
 from merlintally.net.dispatcher import Dispatcher
 from merlintally.net.log import Log
 from merlintally.net.resp import array
@@ -161,3 +179,88 @@
             take(dispatcher.gateway, 2, now=dispatcher.clock.now(), key="c")
             names.add(dispatcher.gateway.customers["c"].epoch(dispatcher.clock.now())[0])
         assert len(names) == 1
+
+
+# System calls fail for a moment.
+
+Call = Callable[..., Any]
+
+
+class FailingCalls:
+    """Has calls on the sockets of one port of this machine fail while `failing` names an error."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch, port: int, *names: str) -> None:
+        self.port, self.failing, self.failed = port, 0, 0
+        for name in names:
+            monkeypatch.setattr(socket.socket, name, self._with_failures(getattr(socket.socket, name)))
+
+    def _with_failures(self, call: Call) -> Call:
+        def made(sock: socket.socket, *args: Any) -> Any:
+            if self.failing and sock.getsockname()[1] == self.port:
+                self.failed += 1
+                raise OSError(self.failing, "for a moment")
+            return call(sock, *args)
+
+        return made
+
+    async def for_a_moment(self, error: int, seconds: float) -> None:
+        self.failing = error
+        await anyio.sleep(seconds)
+        self.failing = 0
+
+
+def test_a_node_that_leaves_takes_what_waits_though_accept_fails_for_a_moment(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def act(scene: Scene) -> None:
+        calls, answers = FailingCalls(monkeypatch, scene.node.address[1], "accept"), list[bytes]()
+
+        async def ask() -> None:
+            await anyio.sleep(0.3)  # before the time to take connections is over, and while none can be
+            answers.append(await scene.ask(said()))
+
+        scene.node.leave()
+        async with anyio.create_task_group() as group:
+            group.start_soon(calls.for_a_moment, errors.pop(), 0.7)
+            group.start_soon(ask)
+        assert calls.failed and answers == [HI]
+
+    errors = [errno.ENFILE, errno.ENOBUFS, errno.ECONNABORTED, errno.ENETUNREACH]
+    while errors:
+        standin = server()
+        play(told(known=known(standin)), act, standin)
+
+
+def test_a_client_is_answered_though_reads_and_writes_fail_for_a_moment(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def act(scene: Scene) -> None:
+        calls = FailingCalls(monkeypatch, scene.node.address[1], "recv_into", "sendmsg")
+        for error in (errno.ENOBUFS, errno.ENOMEM, errno.EHOSTUNREACH, errno.ETIMEDOUT):
+            with await scene.connect() as sock:
+                standin.gate = anyio.Event()
+                sock.sendall(said())
+                await until(lambda: bool(standin.heard))
+                sock.sendall(array(b"PING"))  # something to read while reading fails
+                async with anyio.create_task_group() as group:
+                    group.start_soon(calls.for_a_moment, error, 0.1)
+                    await anyio.sleep(0.05)
+                    standin.gate.set()
+                assert await scene.hear(sock, until=2) == HI + b"+PONG\r\n", error
+            standin.heard.clear()
+
+    standin = server()
+    play(told(known=known(standin)), act, standin)
+
+
+def test_commands_that_were_read_get_an_answer_before_the_end_of_a_leave() -> None:
+    standin = silent()
+
+    async def act(scene: Scene) -> None:
+        with await scene.connect() as sock:
+            sock.sendall(said() + said() + said())
+            await until(lambda: bool(standin.heard))
+            scene.node.leave()
+            assert answers_in(await scene.hear(sock)) == 3
+
+    play(told(known=known(standin), bounds=Bounds(pipelined=1, finish_s=0.8)), act, standin)
