Requests outlive failed accepts, reads and writes; read commands are answered at a leave

Causes: Clients.stop_listening closed the listener at the first shortage, and spun without an end on errors of single connections (1 << 30 turns: the test stood still); Stream.receive and gather took any OSError for the connection's end; Clients.read_no_more set closing over whole commands in the buffer (Client._read_commands stops there). TCP_NODELAY that can't be set costs no connection.

--- a/merlintally/net/client_stream.py
+++ b/merlintally/net/client_stream.py
@@ -7,7 +7,7 @@
 
 from merlintally.net.arrivals import Arrivals
 from merlintally.net.polling import ReadyTimes
-from merlintally.net.sockets import Allowance, Stream
+from merlintally.net.sockets import Allowance, Stream, passes
 from merlintally.net.timers import Clock
 
 FRESH_S = 0.01  # since bytes can have come, up to which their client's end is not looked for at once
@@ -50,7 +50,9 @@
             except (BlockingIOError, InterruptedError):
                 self._arrivals.seen_empty(self._clock.now())
                 break
-            except OSError:
+            except OSError as wrong:
+                if passes(wrong):
+                    break
                 self.was_reset = True
                 return None
             if not count:
--- a/merlintally/net/clients.py
+++ b/merlintally/net/clients.py
@@ -6,7 +6,7 @@
 import socket
 import traceback
 from collections import deque
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 from functools import partial
 
 import anyio
@@ -23,11 +23,12 @@
 from merlintally.net.post import Owner
 from merlintally.net.requests import COMMANDS, PendingAnswer, Request
 from merlintally.net.resp import Span, array_at
-from merlintally.net.sockets import Allowance, Buffer, prepared
+from merlintally.net.sockets import RETRY_S, Allowance, Buffer, prepared
 from merlintally.net.timers import Clock
 
 AT_ONCE, LINGERING = 16, 8  # connections accepted, and reads of one that is to be closed, in a row
 MADE_ROOM = 2 * AT_ONCE  # connections closed at once where descriptors run short
+BUSY = b"-BUSY\r\n"
 ASIDE = (b"PING", b"CLIENT", b"SELECT", b"QUIT")
 SCARCE = {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM}
 
@@ -159,7 +160,7 @@
                 self.known, self.faults = True, 0
                 self.retiring = self.retiring or self.admission is not Admission.STAYS
                 if self.admission is Admission.REJECTED and not clients.give_way(urgent=True):
-                    self.pending.append(PendingAnswer([b"-BUSY\r\n"]))
+                    self.pending.append(PendingAnswer([BUSY]))
                     self.pass_on()
                     return
                 self.pending.append(request)
@@ -236,6 +237,8 @@
             ready.extend(pending.answer or ())
             if isinstance(pending, Request):
                 self.clients.held.give(pending.size)
+        if self.closing and not self.pending:
+            ready.extend(self._refusals())
         if ready and not self.ended:
             self.moved_at = self.clients.clock.now()
             try:
@@ -251,6 +254,19 @@
             self.stream.end_sending()
         self._passed.set()
 
+    def _refusals(self) -> Iterator[Buffer]:
+        """The answers to commands that came whole and are not taken up before the connection's end. Guards
+        against a request that is read, and whose connection is closed with no answer."""
+        stream = self.stream
+        try:
+            while (found := array_at(stream.buffer, stream.start, stream.end)) is not None:
+                stream.use(found[1])
+                if found[0]:
+                    self.clients.refused_unopened += 1
+                    yield BUSY
+        except Malformed:
+            return  # the framing is lost: there is no telling what else was asked
+
     def _hold_unread(self) -> None:
         """Guards against memory taken by answers that nobody reads: they count as held until written."""
         before, self.unread = self.unread, sum(len(part) for part in self.stream.unsent)
@@ -322,6 +338,7 @@
         self.facts = deployment.facts
         self.connections: dict[Client, None] = {}
         self.closures = Closures()
+        self.refused_unopened = 0  # commands answered as busy since their connections were about to end
         self.ready_times = ready_times()
         self.limits = AdmissionLimits.of(descriptors.most, self.bounds.client_reserve_share)
         self.eviction: Eviction[Client] = Eviction(self.bounds.client_rest_s, self.bounds.client_silent_s)
@@ -349,12 +366,14 @@
             scarce = self.accept_all(AT_ONCE)
             await anyio.sleep(0)  # guards against others kept waiting where hundreds connect at once
             if scarce:  # guards against a loop that spins on a listener it can't accept from
-                self.log.say(f"no connection can be accepted: {scarce.strerror}", "clients.accept")
+                self._tell_of_failed_accept(scarce)
                 self.give_way(MADE_ROOM, urgent=True)
                 await anyio.sleep(self.bounds.again_s)
 
     def accept_all(self, most: int = 1 << 30, beyond: bool = False) -> OSError | None:
-        """Accept up to `most`; `beyond`: also those for which no descriptors are meant."""
+        """Accept up to `most`; `beyond`: also those for which no descriptors are meant. Gives the error for
+        which the rest still waits: a shortage, or failures in a row."""
+        failures = 0
         for _ in range(most):
             admission = self.limits.admit(self.descriptors.held)
             if admission is Admission.WAITS and not beyond:
@@ -365,9 +384,11 @@
                 self.backlog_empty_at = self.clock.now()
                 return None
             except OSError as wrong:
-                if wrong.errno in SCARCE:
+                failures += 1
+                if wrong.errno in SCARCE or failures == AT_ONCE:
                     return wrong
                 continue  # the client went away before it was accepted
+            failures = 0
             self.descriptors.take()
             client = Client(self, prepared(sock), self.backlog_empty_at, admission)
             self.connections[client] = None
@@ -406,10 +427,19 @@
                 client.retire()
         self.closures.tell(self.log)
 
-    def stop_listening(self) -> None:
-        """Guards against connections lost between the kernel and the node: all that came are taken first."""
-        self.accept_all(beyond=True)
-        self.listener.close()
+    async def stop_listening(self) -> None:
+        """Guards against connections lost between the kernel and the node: all that came are taken first,
+        and where the system fails to hand them over, they are asked for again for a while."""
+        try:
+            with anyio.move_on_after(self.bounds.accept_patience_s):
+                while failure := self.accept_all(beyond=True):
+                    self._tell_of_failed_accept(failure)
+                    await anyio.sleep(RETRY_S)
+        finally:
+            self.listener.close()
+
+    def _tell_of_failed_accept(self, failure: OSError) -> None:
+        self.log.say(f"no connection can be accepted: {failure.strerror}", "clients.accept")
 
     def retire(self) -> None:
         for client in list(self.connections):
--- a/merlintally/net/node.py
+++ b/merlintally/net/node.py
@@ -170,10 +170,10 @@
         """Take no new connection, and answer all that was taken. It has to be over before the node is killed,
         which comes the sooner the shorter the hard limits are."""
         bounds, longest = self.deployment.bounds, max(lane.hard_limit for lane in self.deployment.facts.lanes)
-        clients.stop_listening()
-        self.phases.enter(Phase.FINISHING)
-        clients.retire()
         with anyio.move_on_after(min(bounds.finish_s, longest + bounds.finish_beyond_s) - bounds.leave_s):
+            await clients.stop_listening()
+            self.phases.enter(Phase.FINISHING)
+            clients.retire()
             await self._until_answered(dispatcher, clients)
         clients.read_no_more()
         await dispatcher.post(dispatcher.end_all)
--- a/merlintally/net/sockets.py
+++ b/merlintally/net/sockets.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import errno
 import socket
 from collections.abc import Sequence
 from contextlib import suppress
@@ -15,6 +16,22 @@
 Buffer = bytes | bytearray | memoryview
 GATHERED = 64  # buffers in one write, well below what any system allows
 FIRST_SIZE, MOST_SIZE = 2048, 160 << 10  # of the buffer a connection reads into: two of the largest values
+RETRY_S = 0.01  # until a call that failed for want of something is made again
+SHORTAGES = frozenset({errno.ENOBUFS, errno.ENOMEM})  # the connection is as it was
+# Of the way to the other side: the connection may live on; where it does not, the next call tells its end.
+UNREACHABLE = frozenset(
+    {errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH, errno.ENETDOWN, errno.EHOSTDOWN}
+)
+
+
+# States of a TCP connection (TCP_INFO) in which the other side has ended: FIN behind bytes not read yet.
+ENDED_STATES = frozenset({8, 9, 11})  # CLOSE_WAIT, LAST_ACK, CLOSING
+
+
+def passes(wrong: OSError) -> bool:
+    """Whether a read or write that failed is made again. Guards against a request that is lost with its
+    connection, which one call found short of memory, or its way broken for a moment."""
+    return wrong.errno in SHORTAGES or wrong.errno in UNREACHABLE
 
 
 class Allowance:
@@ -49,6 +66,10 @@
             written = sock.sendmsg(left[:GATHERED])
         except (BlockingIOError, InterruptedError):
             return left
+        except OSError as wrong:
+            if passes(wrong):
+                return left
+            raise
         done = 0
         while done < len(left) and written >= len(left[done]):
             written -= len(left[done])
@@ -86,9 +107,13 @@
                 got = self.sock.recv_into(memoryview(self.buffer)[self.end :])
             except (BlockingIOError, InterruptedError):
                 continue
-            except OSError:
-                self.was_reset = True
-                return 0
+            except OSError as wrong:
+                if wrong.errno not in SHORTAGES:
+                    self.was_reset = True  # it stays so: what ends behind it may not be whole
+                if not passes(wrong):
+                    return 0
+                await anyio.sleep(RETRY_S)
+                continue
             self.end += got
             return got
         return 0
@@ -127,8 +152,31 @@
                 await anyio.wait_writable(self.sock)
             except anyio.ClosedResourceError:
                 return
-            if not self.closed:
-                self.unsent = gather(self.sock, self.unsent)
+            if self.closed:
+                return
+            before = self.unsent
+            self.unsent = gather(self.sock, before)
+            if len(self.unsent) == len(before) and self.unsent[0] is before[0]:
+                await anyio.sleep(RETRY_S)  # guards against a loop that spins on calls that fail
+
+    def peer_ended(self) -> bool:
+        """Whether the other side has ended its sending, or the connection is broken, as far as can be seen
+        without reading on: also behind bytes that are not read."""
+        try:
+            if not self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT):
+                return True
+        except (BlockingIOError, InterruptedError):
+            return False
+        except OSError as wrong:
+            return not passes(wrong)
+        return self._state() in ENDED_STATES
+
+    def _state(self) -> int:
+        """The connection's state as the system has it; 0 where it does not say."""
+        try:
+            return self.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
+        except (OSError, IndexError):
+            return 0
 
     def quiet(self) -> bool:
         """Whether nothing waits unread: the other side has neither ended, nor said anything more."""
@@ -158,9 +206,10 @@
 
 
 def prepared(sock: socket.socket) -> socket.socket:
-    """Have a TCP socket never block, and send at once what is written."""
+    """Have a TCP socket never block, and send at once what is written, where the system takes that up."""
     sock.setblocking(False)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    with suppress(OSError):  # guards against a request that is lost with a connection that is only slower
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     return sock
 
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -219,7 +219,7 @@
     clients.listener = socket.create_server(("127.0.0.1", 0))
     clients.listener.setblocking(False)
     with socket.create_connection(clients.listener.getsockname()):
-        clients.stop_listening()
+        anyio.run(clients.stop_listening)
         assert len(clients.connections) == 1
         for client in clients.connections:
             client.stream.sock.close()
