--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -6,6 +6,8 @@
 import socket
 import time
 from collections.abc import Callable
+from contextlib import suppress
+from dataclasses import replace
 from typing import Any
 from unittest.mock import Mock
 
@@ -13,7 +15,9 @@
 import pytest
 from helpers import (
     HI,
+    IDS,
     OK,
+    SERVER,
     Scene,
     Standin,
     answers_in,
@@ -28,6 +32,7 @@
     until,
 )
 
+from merlintally.choice import Gateway
 from merlintally.interface import ServerFacts
 from merlintally.net import servers
 from merlintally.net.configuration import Bounds, Listed
@@ -264,3 +269,71 @@
             assert answers_in(await scene.hear(sock)) == 3
 
     play(told(known=known(standin), bounds=Bounds(pipelined=1, finish_s=0.8)), act, standin)
+
+
+# A client leaves unseen.
+
+
+def test_nothing_begins_for_a_client_that_left_behind_more_than_is_read() -> None:
+    """Its end stood behind 160 KiB of unread commands, and each retry was made for nobody."""
+    standin = server(b"-ERR failed\r\n")
+    standin.gate = anyio.Event()
+
+    async def act(scene: Scene) -> None:
+        assert standin.gate is not None
+        terms = b"c=order,t=plan,d=1500,k=key,units=1,spread=1,first=0"
+        with await scene.connect() as sock:
+            sock.sendall(said())
+            await until(lambda: len(standin.heard) == 1)
+            for _ in range(8):
+                await anyio.wait_writable(sock)
+                with suppress(BlockingIOError):
+                    sock.sendall(said(b"Q.DO", terms, body=LONG))
+        await anyio.sleep(0.12)  # behind its close
+        standin.gate.set()
+        await anyio.sleep(0.2)
+        assert len(standin.heard) == 1
+
+    play(told(known=known(standin), bounds=Bounds(pipelined=1)), act, standin)
+
+
+# A server in slow start.
+
+COLD = replace(SERVER, server="cold", started=100.0)
+
+
+def spend(at: Gateway, now: float) -> int:
+    """Send the cold server all that may be sent now; gives how much that was."""
+    handle, before = take(at, next(IDS), now=now), len(at.results.sends)
+    server = at.servers["cold"]
+    while at._cold_room(now, server):
+        at._send(now, handle, server)
+    return len(at.results.sends) - before
+
+
+def cold_gateway(gateways: int, seed: int, answers_per_s: float) -> Gateway:
+    """One of several that share a warm server and one that is cold since 100.0."""
+    made = gateway(gateways=gateways)
+    made.random.seed(seed)
+    made.roster(100.0, [COLD], complete=False)
+    made.good.add(100.0, answers_per_s * 10)
+    return made
+
+
+def test_a_cold_server_that_leaves_the_list_and_returns_gets_no_second_budget() -> None:
+    at = cold_gateway(1, 1, 80.0)
+    sent = spend(at, 100.1)
+    assert sent > 0
+    at.servers["cold"].out.clear()
+    at.roster(100.2, [replace(COLD, presence="gone")], complete=False)
+    at.roster(100.3, [COLD], complete=False)
+    assert spend(at, 100.4) == 0
+
+
+def test_a_cold_servers_budget_holds_when_the_list_has_just_shrunk() -> None:
+    """What many servers answered in the last seconds is no measure of one of the few that are left."""
+    at = cold_gateway(1, 1, 80.0)
+    at.roster(100.0, [replace(SERVER, server=f"s{number}") for number in range(1, 20)], complete=False)
+    at.roster(100.5, [SERVER, COLD], complete=True)
+    budget = 2.0 * (0.25 + 0.75 * 1.0 / 10.0) * 80.0 / 20 * 2.0
+    assert spend(at, 101.0) <= budget
