One guard before every write of an attempt; invariants counted at run time; reasons of closes

Cause of the red test: a client's end behind 160 KiB of unread commands, or behind bytes there is no room for, was seen by nobody, and its requests were tried again (docs/crossings.md had it as bounded). Change: SendGuard looks at the client (a peek at its socket, and TCP_INFO where bytes stand before its end), the answer, the server's listing, the time and other copies right before the first byte, when a late connection comes up, and before the rest of one half written; a client whose end could not be seen gets no new attempt. Invariants checks the same behind the act and counts breaches. Each client connection has a reason of its end; one that ends by a fault is answered first. An attempt held back by the node is moot, and no failure of the server. The late case of the test of late connections sets its time after the send, since the guard looks at it there, too; the crowd's test takes the reason by its new name.

--- a/merlintally/net/clients.py
+++ b/merlintally/net/clients.py
@@ -5,7 +5,7 @@
 import errno
 import socket
 import traceback
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Awaitable, Callable, Iterator
 from functools import partial
 
@@ -15,8 +15,9 @@
 from merlintally.fields import Malformed
 from merlintally.net.admission import Admission, AdmissionLimits, Eviction
 from merlintally.net.client_stream import ClientStream
-from merlintally.net.closures import NO_DESCRIPTOR, NO_REQUEST, Closures
+from merlintally.net.closures import BY_CLIENT, CloseReason, Closures
 from merlintally.net.configuration import Deployment
+from merlintally.net.invariants import Invariant, Invariants
 from merlintally.net.log import Log
 from merlintally.net.phases import Phase, Phases
 from merlintally.net.polling import ready_times
@@ -59,6 +60,7 @@
         self.read_at = self.moved_at  # when something of it was last read
         self.whole_by = self.moved_at + clients.bounds.client_patience_s  # the command that is being read
         self.closing = self.ended = False
+        self.close_reason: CloseReason | None = None  # the first one
         self.retiring = False  # to be closed as soon as it rests
         self.known = False  # whether it has brought a request
         self.faults = 0  # since then
@@ -95,24 +97,58 @@
         stream = self.stream
         return not self.pending and not stream.unsent and stream.start == stream.end and stream.quiet()
 
+    def has_left(self) -> bool:
+        """Whether its client has ended the connection, also where that has not been read yet."""
+        if not self.ended and self.stream.peer_ended():
+            self.end(CloseReason.CLIENT)
+        return self.ended
+
+    def is_unseen(self) -> bool:
+        """Whether its client's end could stand behind bytes that there is no room to read."""
+        stream = self.stream
+        return stream.overfull or (stream.end == len(stream.buffer) and self.clients.held.full)
+
     async def run(self) -> None:
-        """Guards against a fault in handling one connection: it ends that one, and no other."""
+        """Guards against a fault in handling one connection: it ends that one, and no other, and not before
+        what was taken of it is answered."""
         try:
-            while not self.closing:
-                if not (got := await self.stream.receive()):
-                    return
-                self.moved_at = self.read_at = self.clients.clock.now()
-                if got == self.stream.end - self.stream.start:
-                    self._begins()
-                await self._read_commands()
-                if self.clients.held.full:
-                    await self._watching(self.clients.held.room)
-            await self._linger()
-        except Exception:
-            self.clients.log.say(f"client {self.who}: {traceback.format_exc()}", "client.failed")
+            await self._or_tell(self._serve)
+            if not self.ended and self.pending:  # a fault has ended its handling
+                self._close_for(CloseReason.FAILED)
+                await self._or_tell(self._linger)
         finally:
             await self._gone()
 
+    async def _or_tell(self, handling: Callable[[], Awaitable[None]]) -> None:
+        try:
+            await handling()
+        except Exception:
+            self.clients.log.say(f"client {self.who}: {traceback.format_exc()}", "client.failed")
+
+    async def _serve(self) -> None:
+        while not self.closing:
+            if not (got := await self.stream.receive()):
+                self.ended = True
+                self._close_for(CloseReason.CLIENT)
+                return
+            self.moved_at = self.read_at = self.clients.clock.now()
+            if got == self.stream.end - self.stream.start:
+                self._begins()
+            await self._read_commands()
+            if self.clients.held.full:
+                await self._watching(self.clients.held.room)
+        await self._linger()
+
+    def _close_for(self, reason: CloseReason) -> None:
+        """Take nothing more, and end once all that is owed is answered."""
+        self.closing = True
+        self.close_reason = self.close_reason or reason
+
+    def close_after_answers(self, reason: CloseReason) -> None:
+        """The same, and where nothing is owed end at once."""
+        self._close_for(reason)
+        self.pass_on()
+
     async def _read_commands(self) -> None:
         """Take all commands that have come whole; more than may be open wait unread, as do unread answers."""
         stream, most = self.stream, self.clients.bounds.pipelined
@@ -138,8 +174,7 @@
         except Malformed as wrong:  # the framing is lost: answer what was taken before, and close
             self.clients.log.say(f"client {self.who}: {wrong}; its connection is closed", "client.closed")
             self.pending.append(PendingAnswer([b"-ERR Protocol error: %b\r\n" % plain(wrong)]))
-            self.closing = True
-            self.pass_on()
+            self.close_after_answers(CloseReason.NO_COMMAND)
 
     def _begins(self) -> None:
         """A command begins to come, and has to be whole in time; the first one, since the connection came."""
@@ -158,7 +193,8 @@
                 await self._fault()
             else:
                 self.known, self.faults = True, 0
-                self.retiring = self.retiring or self.admission is not Admission.STAYS
+                if self.admission is not Admission.STAYS:
+                    self._retire_for(CloseReason.FEW_DESCRIPTORS)
                 if self.admission is Admission.REJECTED and not clients.give_way(urgent=True):
                     self.pending.append(PendingAnswer([BUSY]))
                     self.pass_on()
@@ -184,8 +220,7 @@
                 "connection is closed",
                 "client.closed",
             )
-            self.closing = True
-            self.pass_on()
+            self.close_after_answers(CloseReason.FAULTS)
         await self._watching(partial(anyio.sleep, self.clients.bounds.fault_pause_s))
 
     async def _watching(self, wait: Callable[[], Awaitable[None]]) -> None:
@@ -199,7 +234,8 @@
     async def _read_on(self, waiting: anyio.CancelScope) -> None:
         while not self.stream.overfull:
             if not (got := await self.stream.receive()):
-                self.ended = self.closing = True
+                self.ended = True
+                self._close_for(CloseReason.CLIENT)
                 waiting.cancel()
                 return
             self.read_at = self.clients.clock.now()
@@ -226,7 +262,7 @@
             serving = self.clients.phases.current is Phase.SERVING
             return b"+PONG\r\n" if serving else b"-ERR leaving\r\n"
         if name == b"QUIT":
-            self.closing = True
+            self._close_for(CloseReason.ASKED)
         return b"+OK\r\n" if name in ASIDE else b"-ERR unknown command\r\n"
 
     def pass_on(self) -> None:
@@ -248,7 +284,7 @@
                     if not flushing:
                         self.clients.group.start_soon(self._flush)
             except OSError:
-                self.end()
+                self.end(CloseReason.BROKEN)
         self.closing = self.closing or (self.retiring and self.rests)
         if self.finished:
             self.stream.end_sending()
@@ -282,24 +318,31 @@
         try:
             await self.stream.flush()
         except OSError:
-            self.end()
+            self.end(CloseReason.BROKEN)
         self._hold_unread()
         self.moved_at = self.clients.clock.now()
         self.pass_on()
 
-    def end(self) -> None:
-        self.ended = self.closing = True
+    def end(self, reason: CloseReason) -> None:
+        """End it at once, whatever it is owed."""
+        self._close_for(reason)
+        self.ended = True
         self.stream.hang_up()
         self._passed.set()
 
-    def retire(self) -> None:
+    def retire(self, reason: CloseReason) -> None:
         """Close it once it rests: at once, or when the last of what has come is answered."""
-        self.retiring = True
+        self._retire_for(reason)
         self.pass_on()
 
+    def _retire_for(self, reason: CloseReason) -> None:
+        self.retiring = True
+        self.close_reason = self.close_reason or reason
+
     async def _gone(self) -> None:
-        """The client has gone away: whoever owns the decisions is told of all that it waited for."""
-        self.ended = self.closing = True
+        """The connection is over: whoever owns the decisions is told of all that its client waited for."""
+        self._close_for(CloseReason.FAILED)
+        self.ended = True
         self.stream.close()
         self.stream.unsent = []
         self._hold_unread()
@@ -307,8 +350,10 @@
         clients.connections.pop(self, None)
         clients.descriptors.give()
         owed, self.pending = [pending for pending in self.pending if isinstance(pending, Request)], deque()
+        clients.note_end(self, owed)
         for request in owed:
             request.gone = True  # guards against sends for it while the word of it waits in a long queue
+            request.gone_at = clients.clock.now()
             clients.held.give(request.size)
         for request in owed:
             if request.answer is None:
@@ -338,6 +383,8 @@
         self.facts = deployment.facts
         self.connections: dict[Client, None] = {}
         self.closures = Closures()
+        self.closed: Counter[CloseReason] = Counter()
+        self.invariants = Invariants(log)
         self.refused_unopened = 0  # commands answered as busy since their connections were about to end
         self.ready_times = ready_times()
         self.limits = AdmissionLimits.of(descriptors.most, self.bounds.client_reserve_share)
@@ -404,8 +451,8 @@
             # Else what makes a command whole may have come, or the answer just written would go with a reset.
             if client.stream.quiet():
                 if not client.known:
-                    self.closures.add(NO_DESCRIPTOR, client.address)
-                client.end()
+                    self.closures.add(CloseReason.NO_DESCRIPTOR, client.address)
+                client.end(CloseReason.NO_DESCRIPTOR)
                 closed += 1
         return closed
 
@@ -418,13 +465,13 @@
             begun = stream.start < stream.end or not client.known
             if stream.unsent or (client.closing and not client.pending):
                 if still > bounds.client_stall_s:
-                    client.end()
+                    client.end(CloseReason.STALLED)
             elif not client.pending and begun and now > client.whole_by:
                 if stream.quiet():  # else what makes it whole may have come
-                    self.closures.add(NO_REQUEST, client.address)
-                    client.end()
+                    self.closures.add(CloseReason.NO_REQUEST, client.address)
+                    client.end(CloseReason.NO_REQUEST)
             elif still > bounds.client_idle_s and client.rests:
-                client.retire()
+                client.retire(CloseReason.IDLE)
         self.closures.tell(self.log)
 
     async def stop_listening(self) -> None:
@@ -443,11 +490,22 @@
 
     def retire(self) -> None:
         for client in list(self.connections):
-            client.retire()
+            client.retire(CloseReason.LEAVE)
 
     def read_no_more(self) -> None:
         """Guards against requests that come on until the process ends, and are lost with it: what is not
         read when its connection closes is sent again elsewhere."""
         for client in list(self.connections):
-            client.closing = True
-            client.pass_on()
+            client.close_after_answers(CloseReason.LEAVE)
+
+    def note_end(self, client: Client, owed: list[Request]) -> None:
+        """Count why a connection ended, and look whether the node owed its client anything."""
+        reason = client.close_reason or CloseReason.FAILED
+        self.closed[reason] += 1
+        now = self.clock.now()
+        lost = [one for one in owed if one.answer is None and not one.gone and now < one.deadline]
+        first = lost[0].id if lost else b""
+        kept = reason in BY_CLIENT or not lost
+        self.invariants.check(kept, Invariant.NO_ANSWER_OWED, first, owed=len(lost), reason=reason.name)
+        if self.log.follows:
+            self.log.say("", "connection.closed", reason=reason.name, owed=len(owed))
--- a/merlintally/net/dispatcher.py
+++ b/merlintally/net/dispatcher.py
@@ -273,7 +273,8 @@
         if may and not request.gone and self.fleet.send(server, attempt):
             self.timers.at(until, self.expired, attempt)
         else:
-            self.soon.append((self.ended, (attempt, Answer("unreachable"))))
+            # It never ran, and that says nothing of the server.
+            self.soon.append((self.ended, (attempt, Answer("moot"))))
 
     def _add(self, name: int, amount: float, keep: float) -> None:
         if self.counter is None or not self.counter.add(name, amount, keep):
--- a/merlintally/net/requests.py
+++ b/merlintally/net/requests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Iterator
 from typing import TYPE_CHECKING, NamedTuple, Protocol
 
 from merlintally.fields import Fields, Malformed, number, text, whole
@@ -25,6 +26,8 @@
     """Whoever brought a request, and is told once its answer is there."""
 
     def pass_on(self) -> None: ...
+    def has_left(self) -> bool: ...
+    def is_unseen(self) -> bool: ...
 
 
 class PendingAnswer:
@@ -57,6 +60,8 @@
         "out",
         "sent",
         "gone",
+        "gone_at",
+        "effect",
     )
 
     def __init__(
@@ -97,9 +102,15 @@
         # Guards against a stated wait of weeks, for as long as which all that belongs to it would be kept.
         self.deadline, self.size = arrived + min(limit / 1000, lane.hard_limit), len(raw) + BESIDE
         self.number, self.sent, self.gone = 0, 0, False
+        self.gone_at: float | None = None  # when its client's end was seen
+        self.effect = lane.effect
         self.handle: Submission | None = None
         self.out: dict[int, Attempt] = {}
 
+    def others(self, attempt: Attempt) -> Iterator[Attempt]:
+        """The attempts of this request that are out beside `attempt`."""
+        return (one for one in self.out.values() if one is not attempt)
+
     def message(self, wait: float) -> list[Buffer]:
         """The command for an app server, unchanged but for how long the answer is waited for."""
         raw, (first, last), (start, stop) = memoryview(self.raw), self.terms_at, self.limit_at
@@ -112,7 +123,18 @@
 class Attempt:
     """One attempt of a request at an app server."""
 
-    __slots__ = ("request", "number", "began", "until", "begin_by", "link", "written", "answered", "over")
+    __slots__ = (
+        "request",
+        "number",
+        "began",
+        "until",
+        "begin_by",
+        "link",
+        "written",
+        "answered",
+        "over",
+        "refusal",
+    )
 
     def __init__(self, request: Request, number: int, began: float, until: float, begin_by: float) -> None:
         self.request, self.number, self.began, self.until = request, number, began, until
@@ -121,6 +143,11 @@
         self.written = False  # its last byte is written: from then on it may have run
         self.answered = False  # its end is on its way to the owner of the decisions
         self.over = False
+        self.refusal: str | None = None  # why the guard of sends held it back
+
+    def may_run(self) -> bool:
+        """Whether it is out, and its app server may have begun it."""
+        return self.written and not self.over and not self.answered
 
 
 class Answer(NamedTuple):
--- a/merlintally/net/servers.py
+++ b/merlintally/net/servers.py
@@ -12,10 +12,12 @@
 from merlintally.fields import Malformed
 from merlintally.interface import LoadReport, Outcome, Presence
 from merlintally.net.configuration import Address, Deployment
+from merlintally.net.invariants import GONE_S, HELD_UP_S, WAIT_SLACK_S, Invariant, Invariants
 from merlintally.net.log import Log
 from merlintally.net.post import Owner
 from merlintally.net.requests import Answer, Attempt
 from merlintally.net.resp import array_at, bulk, line_end
+from merlintally.net.send_guard import SendGuard
 from merlintally.net.sockets import Allowance, Stream, connect, tcp_socket
 from merlintally.net.timers import Clock
 from merlintally.subsets import Listing
@@ -109,12 +111,8 @@
     async def _serve(self) -> None:
         with anyio.fail_after(self.fleet.connect_time_out):
             await connect(self.stream.sock, self.server.address)
-        # Guards against what was decided before and is written now: to one that drains since, for a client
-        # that has left, or a repeat that is no longer remembered.
-        late = self.attempt is not None and (
-            self.attempt.request.gone or self.fleet.clock.now() >= self.attempt.begin_by
-        )
-        if self.dead or late:
+        attempt = self.attempt
+        if self.dead or (attempt and not self.fleet.guard.allows(attempt, self.server.presence)):
             return
         self.connected = True
         if self.attempt is None:  # called off while it connected: the next one may use it
@@ -151,21 +149,25 @@
     def begin(self, attempt: Attempt) -> None:
         """Write an attempt out; when that fails before its last byte, it has never run."""
         self.attempt, attempt.link = attempt, self
+        wait = attempt.until - self.fleet.clock.now()
         try:
-            attempt.written = self.stream.write(
-                attempt.request.message(attempt.until - self.fleet.clock.now())
-            )
+            attempt.written = self.stream.write(attempt.request.message(wait))
         except OSError:
             self.end()
             return
+        self.fleet.check_begun(attempt, self.server, wait)
         if not attempt.written:
             self.fleet.group.start_soon(self._flush, attempt)
 
     async def _flush(self, attempt: Attempt) -> None:
+        """Write the rest. Guards against a last byte that goes out for nobody, or once a repeat is no longer
+        remembered: an app server begins a request with it."""
         try:
-            await self.stream.flush()
+            await self.stream.flush(lambda: self.fleet.guard.allows(attempt, "on"))
             attempt.written = not self.stream.unsent
         except OSError:
+            pass
+        if not attempt.written:
             self.end()
 
     def end(self) -> None:
@@ -182,6 +184,15 @@
         self.presence: Presence = "on"
         self.links: dict[Link, None] = {}
         self.idle: list[Link] = []  # the last used at the end
+        self.leaving_since = float("inf")  # when it was listed as one that drains or is gone
+
+    def set_presence(self, presence: Presence, now: float) -> None:
+        """Take up how it is listed from now on."""
+        if presence == "on":
+            self.leaving_since = float("inf")
+        elif self.presence == "on":
+            self.leaving_since = now
+        self.presence = presence
 
 
 class Fleet:
@@ -203,6 +214,22 @@
         self.rest_s, self.stall_s = deployment.bounds.rest_s, deployment.bounds.stall_s
         self.retire_after = deployment.idle_close * deployment.bounds.idle_share
         self.servers: dict[str, Server] = {}
+        self.guard, self.invariants = SendGuard(clock), Invariants(log)
+        self.drain_grace = deployment.facts.drain_grace
+
+    def check_begun(self, attempt: Attempt, server: Server, wait: float) -> None:
+        """Look at an attempt of which the first bytes have just been written, to be answered in `wait` s."""
+        request, now, check = attempt.request, self.clock.now(), self.invariants.check
+        gone_s = 0.0 if request.gone_at is None else now - request.gone_at
+        left_s, leaving_s = request.deadline - now, now - server.leaving_since
+        check(gone_s <= GONE_S, Invariant.CLIENT_THERE, request.id, gone_s=gone_s)
+        check(request.answer is None, Invariant.NOT_ANSWERED, request.id)
+        late_s = now - min(attempt.begin_by, request.deadline)
+        check(late_s <= HELD_UP_S, Invariant.NOT_TOO_LATE, request.id, late_s=late_s)
+        check(wait <= max(0.0, left_s) + WAIT_SLACK_S, Invariant.WAIT_TOLD, request.id, wait_s=wait)
+        check(leaving_s <= self.drain_grace, Invariant.SERVER_STAYS, request.id, server=server.name)
+        twice = request.effect == "one-shot" and any(one.may_run() for one in request.others(attempt))
+        check(not twice, Invariant.ONE_COPY, request.id)
 
     def roster(self, entries: Iterable[Listing], complete: bool) -> None:
         """Take a list or its changes. What drains or is gone keeps its attempts and gets nothing more."""
@@ -215,13 +242,14 @@
                     continue
                 server = self.servers[name] = Server(name, entry.address)
             moved = entry.address is not None and entry.address != server.address
-            if moved or entry.facts.started > server.started or entry.facts.presence != "on":
+            if moved or entry.facts.started != server.started or entry.facts.presence != "on":
                 self._drop_unused(server)
-            server.address, server.presence = entry.address or server.address, entry.facts.presence
+            server.address = entry.address or server.address
+            server.set_presence(entry.facts.presence, self.clock.now())
             server.started = entry.facts.started
         for server in list(self.servers.values()):
             if complete and server.name not in named:
-                server.presence = "gone"
+                server.set_presence("gone", self.clock.now())
                 self._drop_unused(server)
             if server.presence == "gone" and not server.links:
                 del self.servers[server.name]
@@ -236,7 +264,7 @@
     def send(self, name: str, attempt: Attempt) -> bool:
         """Begin an attempt; False if it can't be and has never run."""
         server = self.servers.get(name)
-        if server is None or server.presence != "on":
+        if server is None or not self.guard.allows(attempt, server.presence):
             return False
         while (link := self._rested(server)) is not None:
             if not link.dead and link.stream.quiet():  # guards against one that its server has closed
--- a/merlintally/net/sockets.py
+++ b/merlintally/net/sockets.py
@@ -8,7 +8,7 @@
 
 import errno
 import socket
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from contextlib import suppress
 
 import anyio
@@ -144,15 +144,15 @@
         self.unsent = [*self.unsent, *buffers] if self.unsent else gather(self.sock, buffers)
         return not self.unsent
 
-    async def flush(self) -> None:
-        """Write what is left, or as much as can be until the connection is closed by another task. Guards
-        against a fault of one connection that ends the group of tasks, and the node with it."""
+    async def flush(self, allowed: Callable[[], bool] = lambda: True) -> None:
+        """Write what is left, or as much as can be until another task closes the connection, or it is no
+        longer `allowed`. Guards against a fault of one connection that ends the node's group of tasks."""
         while self.unsent and not self.closed:
             try:
                 await anyio.wait_writable(self.sock)
             except anyio.ClosedResourceError:
                 return
-            if self.closed:
+            if self.closed or not allowed():
                 return
             before = self.unsent
             self.unsent = gather(self.sock, before)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -254,7 +254,8 @@
     that had left."""
     at, dispatcher, clock = silent(), Mock(post=AsyncMock()), Clock()
     deployment = told(known=known(at))
-    one = taken(said(), Mock(), Clock().now())
+    client = Mock(has_left=Mock(return_value=False), is_unseen=Mock(return_value=False))
+    one = taken(said(), client, Clock().now())
 
     async def act() -> None:
         async with anyio.create_task_group() as group:
@@ -263,9 +264,11 @@
             )
             fleet.roster(deployment.known, True)
             now = clock.now()
-            attempt = Attempt(one, 1, now, now + 5.0, now if change == "late" else now + 5.0)
+            attempt = Attempt(one, 1, now, now + 5.0, now + 5.0)
             assert fleet.send("s0", attempt)
             one.gone = change == "gone"
+            if change == "late":
+                attempt.begin_by = now
             if change == "draining":
                 fleet.roster(
                     [replace(row, facts=replace(row.facts, presence="draining")) for row in deployment.known],
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -17,7 +17,7 @@
 from merlintally.net.admission import Admission, AdmissionLimits, Eviction
 from merlintally.net.arrivals import MOST_SEGMENTS, Arrivals
 from merlintally.net.client_stream import FRESH_S
-from merlintally.net.closures import NO_REQUEST, Closures
+from merlintally.net.closures import CloseReason, Closures
 from merlintally.net.configuration import Bounds, Faulty, deployment_of
 from merlintally.net.log import Log
 from merlintally.net.polling import UNKNOWN, ObservedLoop, ObservedSelector, ReadyTimes
@@ -249,7 +249,7 @@
                 assert await scene.hear(sock) == b""
 
     log = play(told(known=known(at), bounds=Bounds(client_patience_s=0.05)), act, at)
-    lines = [line for line in log.splitlines() if NO_REQUEST in line]
+    lines = [line for line in log.splitlines() if CloseReason.NO_REQUEST in line]
     assert 1 <= len(lines) < 5 and "client 127.0.0.1 " in lines[0]
     assert sum(int(line.split(" with ")[0].split()[-1]) for line in lines) == 30
 
@@ -344,11 +344,14 @@
     heard, closures = io.StringIO(), Closures()
     log = Log("n", 1000.0, heard)
     for address in ("10.0.0.1", "10.0.0.2", "10.0.0.2"):
-        closures.add(NO_REQUEST, address)
+        closures.add(CloseReason.NO_REQUEST, address)
     closures.tell(log)
     closures.tell(log)
     assert heard.getvalue().count("\n") == 1
-    assert f"3 with {NO_REQUEST}; from 2 addresses, most from client 10.0.0.2 (2)" in heard.getvalue()
+    assert (
+        f"3 with {CloseReason.NO_REQUEST}; from 2 addresses, most from client 10.0.0.2 (2)"
+        in heard.getvalue()
+    )
 
 
 def test_a_configuration_that_leaves_no_descriptors_is_refused_by_its_key() -> None:
