--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import errno
+import os
 import socket
 import time
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import replace
 from itertools import product
+from pathlib import Path
 from typing import Any
 from unittest.mock import Mock
 
@@ -33,7 +35,9 @@
     until,
 )
 
-from merlintally.choice import Gateway
+from merlintally.choice import Gateway, Submission
+from merlintally.cluster.agreement import Config, Entry, Snapshot
+from merlintally.cluster.disk import Disk, Full
 from merlintally.interface import ServerFacts
 from merlintally.net import servers
 from merlintally.net.configuration import Bounds, Listed
@@ -352,3 +356,82 @@
             moments = (101.9, 102.0, 102.5, 103.0, 103.5, 103.89)
             came = [sum(spend(one, now) for one in nodes) for now in moments]
             assert sum(came) <= allowed, (gateways, ability, seed, came)
+
+
+# A fault in the decisions, and a file that is read too early.
+
+
+def test_a_request_is_answered_by_its_deadline_though_the_decisions_fail(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    def failing(*_: Any) -> None:
+        raise RuntimeError("a fault in the decisions")
+
+    async def act(scene: Scene) -> None:
+        monkeypatch.setattr(Submission, "ended", failing)
+        terms = b"c=pay,t=plan,d=300,units=1,spread=1,first=0"
+        began = time.monotonic()
+        answer = await scene.ask(said(b"Q.DO", terms))
+        assert answer.startswith(b"-ERR") and time.monotonic() - began < 0.3 + 0.5
+
+    standin = server(b"-ERR failed\r\n")
+    play(told(known=known(standin)), act, standin)
+
+
+# Where a folder lasts, writes and syncs fail for a while.
+
+
+def entry(index: int, word: bytes) -> tuple[Any, ...]:
+    return ("add", index, [Entry(3, 0, word)])
+
+
+def words_kept(folder: Path) -> list[bytes]:
+    return [one.data for one in Disk(folder).kept.entries]
+
+
+def test_what_is_promised_after_a_failed_snapshot_is_there_after_a_restart(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The new file stood in place of the old one, whose folder could not be synced: rows went to the old."""
+    disk = Disk(tmp_path)
+    disk.write([entry(1, b"one")])
+    shot = ("snapshot", Snapshot(1, 3, Config(("a",)), b"state"))
+    for name in ("replace", "fsync", "open", "write"):
+        with monkeypatch.context() as failing:
+            failing.setattr(os, name, fails_after(getattr(os, name), 1 if name == "fsync" else 0))
+            with pytest.raises(Full):
+                disk.write([shot])
+        disk.write([entry(2, name.encode())])
+    disk.close()
+    assert words_kept(tmp_path) == [b"write"]
+
+
+def fails_after(call: Call, count: int) -> Call:
+    """A system call that works `count` times and fails from then on."""
+    left = [count]
+
+    def made(*args: Any, **named: Any) -> Any:
+        left[0] -= 1
+        if left[0] < 0:
+            raise OSError(errno.EIO, "Input/output error")
+        return call(*args, **named)
+
+    return made
+
+
+def test_rows_are_promised_only_where_a_failed_write_could_be_cut_off(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    disk = Disk(tmp_path)
+    disk.write([entry(1, b"one")])
+    with monkeypatch.context() as failing:
+        write = os.write
+        failing.setattr(os, "write", lambda file, data: write(file, data[:7]) and fails_after(write, 0)())
+        failing.setattr(os, "ftruncate", fails_after(os.ftruncate, 0))
+        with pytest.raises(Full):
+            disk.write([entry(2, b"two")])
+        with pytest.raises(Full):  # while it can't be cut off
+            disk.write([entry(2, b"two")])
+    disk.write([entry(2, b"again")])
+    disk.close()
+    assert words_kept(tmp_path) == [b"one", b"again"]
