Overdue requests are given up; a folder's log holds what was promised through failed calls

Causes: a request whose attempt ended in a fault of the decisions was looked at by nobody (Dispatcher.ended). Disk._rewrite went on writing to the file that os.replace had put aside, where the folder's sync behind it failed; Disk.write appended behind the rest of a failed write where ftruncate failed, too; Disk.set_aside closed its file before anything else, and could not be called again. Change: Dispatcher.answer_overdue, four times a second, gives up what is 0.1 s past its deadline. Disk._repair opens the log anew, cuts it to what was promised and syncs both before the next write; until then the disk is Full. ClusterNode goes on where admitted or set_aside fails, and is told again.

--- a/merlintally/cluster/disk.py
+++ b/merlintally/cluster/disk.py
@@ -86,6 +86,7 @@
     def __init__(self, folder: Path) -> None:
         """Open the folder, made if missing; Spoilt, or OSError where another process holds it."""
         self.folder, self.path = folder, folder / "agreement.log"
+        self.failed = False  # a call failed, and what the log holds has to be looked at again
         folder.mkdir(parents=True, exist_ok=True)
         self.lock = os.open(folder / "lock", os.O_RDWR | os.O_CREAT, 0o644)
         try:
@@ -147,9 +148,9 @@
     def admitted(self) -> None:
         """It votes again: it holds all that it will ever promise."""
         if self.blank:
-            self.blank = False
             (self.folder / "blank").unlink(missing_ok=True)
             self._sync_folder()
+            self.blank = False
 
     def keep(self, rows: list[Row]) -> None:
         """Keep copies of others' state: a head start for the next time, which may be old or missing."""
@@ -168,21 +169,60 @@
             return []
 
     def set_aside(self) -> None:
-        """Begin anew: fellows know of later starts than this folder does. The old log stays beside it."""
-        os.close(self.file)
+        """Begin anew: fellows know of later starts than this folder does. The old log stays beside it. Where
+        it raises OSError the old log is in force still, and it may be called again."""
         number = 1
         while (aside := self.folder / f"agreement.log.older-{number}").exists():
             number += 1
-        os.replace(self.path, aside)
-        self.kept = Kept()
+        os.link(self.path, aside)
         (self.folder / "blank").touch()
         self.blank = True
-        self._begin_anew()
-        self.file = os.open(self.path, os.O_WRONLY)
-        self.size = os.lseek(self.file, 0, os.SEEK_END)
+        kept, self.kept, self.failed = self.kept, Kept(), True
+        try:
+            self._rewrite()
+            self.failed = False
+        except OSError:
+            if os.path.samestat(os.stat(self.path), os.fstat(self.file)):  # the old log is still in force
+                self.kept = kept
+                raise
 
     def write(self, rows: list[tuple[Any, ...]]) -> None:
-        """Put rows on disk, all or none; Full where it takes them not."""
+        """Put rows on disk, all or none; Full where it takes them not. The same rows may be written again."""
+        try:
+            self._repair()
+            self._write(rows)
+        except OSError as wrong:
+            self.failed = True
+            with suppress(Full):
+                self._repair()
+            raise Full(f"{self.path}: {wrong.strerror}") from None
+
+    def _repair(self) -> None:
+        """Bring the log back to what was promised, after a call that failed. Guards against rows written
+        behind the rest of a failed write, or to a file that a failed snapshot has replaced already: nobody
+        would read them. Full while that can't be done."""
+        if not self.failed:
+            return
+        try:
+            opened = os.open(self.path, os.O_WRONLY)
+            try:
+                replaced = not os.path.sameopenfile(opened, self.file)
+                self.size = os.fstat(opened).st_size if replaced else self.size
+                os.ftruncate(opened, self.size)
+                os.fsync(opened)
+                os.lseek(opened, 0, os.SEEK_END)
+                self._sync_folder()
+                kept = read_log(self.path.read_bytes(), str(self.path))[0]
+            except BaseException:
+                os.close(opened)
+                raise
+        except OSError as wrong:
+            raise Full(f"{self.path}: {wrong.strerror}") from None
+        os.close(self.file)
+        self.file, self.kept, self.failed = opened, kept, False
+        self._mark(self.size)
+
+    def _write(self, rows: list[tuple[Any, ...]]) -> None:
         data = b""
         for row in rows:
             if row[0] != "snapshot":
@@ -194,29 +234,19 @@
                 data = b""
         if not data:
             return
-        try:
-            done = 0
-            while done < len(data):
-                done += os.write(self.file, data[done:])
-            os.fdatasync(self.file)
-        except OSError as wrong:
-            with suppress(OSError):
-                os.ftruncate(self.file, self.size)
-                os.lseek(self.file, 0, os.SEEK_END)
-            self.kept = read_log(self.path.read_bytes(), str(self.path))[0]
-            raise Full(f"{self.path}: {wrong.strerror}") from None
+        done = 0
+        while done < len(data):
+            done += os.write(self.file, data[done:])
+        os.fdatasync(self.file)
         self.size += len(data)
         self._mark(self.size)
 
     def _rewrite(self) -> None:
-        kept = self.kept
-        try:
-            self._begin_anew()
-        except OSError as wrong:
-            self.kept = read_log(self.path.read_bytes(), str(self.path))[0]
-            raise Full(f"{self.path}: {wrong.strerror}") from None
+        """One file with all that is kept, in place of the log."""
+        self._begin_anew()
+        opened = os.open(self.path, os.O_WRONLY)
         os.close(self.file)
-        self.kept, self.file = kept, os.open(self.path, os.O_WRONLY)
+        self.file = opened
         self.size = os.lseek(self.file, 0, os.SEEK_END)
 
     def _begin_anew(self) -> None:
--- a/merlintally/cluster/node.py
+++ b/merlintally/cluster/node.py
@@ -318,7 +318,8 @@
         if found.sums:
             self._summed(found.sums)
         if self.disk.blank and not self.core.raft.blank:
-            self.disk.admitted()
+            with suppress(OSError):  # it is asked for again the next time
+                self.disk.admitted()
         if found.wake_at < self.wake_at or self.wake_at <= time.monotonic():
             self.wake_at = found.wake_at
             self.sleeping.cancel()
@@ -410,9 +411,13 @@
             start=start,
         )
         with self.disk_lock:
-            self.disk.set_aside()
+            try:
+                self.disk.set_aside()
+                self.disk.started(start + 1)
+            except OSError as wrong:  # fellows tell of it again
+                self.log.say(f"cluster: the folder can't be set aside: {wrong.strerror}", "cluster.full")
+                return
             self.disk.start = start + 1
-            self.disk.started(self.disk.start)
             self.links.start = self.disk.start
             self.rows = []
             self._begin(time.monotonic())
--- a/merlintally/net/configuration.py
+++ b/merlintally/net/configuration.py
@@ -22,6 +22,10 @@
     """The configuration can't be used; the text is one plain line that names the key."""
 
 
+class Unreadable(Faulty):
+    """The file can't be read, or is no JSON: it may be being written, or the system short of something."""
+
+
 @dataclass(frozen=True, slots=True)
 class Bounds:
     """What the node allows itself: the object `node` of the configuration may set each of these."""
@@ -56,6 +60,8 @@
     leave_s: float = 0.5  # for which requests are still taken after being told to stop
     finish_s: float = 3.4  # after which all that is still open is ended
     finish_beyond_s: float = 0.4  # or that much after the longest hard limit, where that is sooner
+    reread_s: float = 3.0  # for which a file that can't be read at SIGHUP is read again
+    bind_s: float = 2.0  # for which a node that starts tries to take its addresses
     late_s: float = 0.1  # by which the loop may run late unsaid
     log_lines: float = 20.0  # a second
 
@@ -315,7 +321,7 @@
         with open(path, encoding="utf-8") as file:
             given = json.load(file)
     except OSError as wrong:
-        raise Faulty(f"LB_CONFIG: {path} can't be read: {wrong.strerror}") from None
+        raise Unreadable(f"LB_CONFIG: {path} can't be read: {wrong.strerror}") from wrong
     except ValueError as wrong:
-        raise Faulty(f"LB_CONFIG: {path} is no JSON: {wrong}") from None
+        raise Unreadable(f"LB_CONFIG: {path} is no JSON: {wrong}") from wrong
     return deployment_of(given, environment)
--- a/merlintally/net/dispatcher.py
+++ b/merlintally/net/dispatcher.py
@@ -12,6 +12,7 @@
 from merlintally.interface import CounterOutcome
 from merlintally.net.configuration import Deployment, Listed
 from merlintally.net.counter import Counter
+from merlintally.net.invariants import LATE_S, Invariant, Invariants
 from merlintally.net.log import Log
 from merlintally.net.post import Noting, Post, Right
 from merlintally.net.requests import Answer, Attempt, Request
@@ -24,6 +25,7 @@
 
 GIVEN_UP: list[Buffer] = [b"-ERR given up\r\n"]
 BUSY: list[Buffer] = [b"-BUSY\r\n"]
+OVERDUE_S = 0.1  # past its deadline, from which a request counts as forgotten by the decisions
 SAME_ID: list[Buffer] = [b"-ERR the id is that of an open submission\r\n"]
 
 
@@ -43,6 +45,7 @@
         self.clock, self.log, self.most_open = clock, log, deployment.most_open
         self.gateway = Gateway(deployment.facts, deployment.seed, clock.now())
         self.subset, self.subset_level = subset_of(deployment), 0  # as last told in the log
+        self.invariants = Invariants(log)
         self.roster = Roster(self.subset, self.gateway, self._tell_roster)
         self.start_times = StartTimes(clock.wall)
         self.fleet: Fleet
@@ -249,6 +252,24 @@
             if request.handle is not None and not request.handle.closed:
                 self.gateway.finish(now, request.handle)
 
+    def answer_overdue(self) -> None:
+        """Guards against a request that is never answered, whatever went wrong with it: past its deadline it
+        is given up, which is safe whether it ran or not."""
+        now = self.clock.now()
+        for request in [one for one in self.open_requests.values() if now > one.deadline + OVERDUE_S]:
+            late_s = now - request.deadline
+            if request.answer is None and not request.gone:
+                self.invariants.check(late_s <= LATE_S, Invariant.ANSWERED_IN_TIME, request.id, late_s=late_s)
+                self._step_if_followed(request, "submission.overdue", late_s=late_s)
+                self._pass_on(request, GIVEN_UP)
+            if request.handle is not None and not request.handle.closed:
+                self._do(request.handle.left, (now,))
+            self._forget(request)
+
+    def _step_if_followed(self, request: Request, event: str, **fields: object) -> None:
+        if self.log.follows:
+            self._step(request, event, **fields)
+
     def _step(self, request: Request, event: str, **fields: object) -> None:
         """A step of a request, for those who follow an id over nodes. Called only where the log follows:
         what it tells is not worth working out for nobody, several times a request."""
--- a/merlintally/net/node.py
+++ b/merlintally/net/node.py
@@ -191,8 +191,9 @@
 
     async def _sweep(self, dispatcher: Dispatcher, clients: Clients, fleet: Fleet) -> None:
         while True:
-            await anyio.sleep(0.5)
+            await anyio.sleep(0.25)
             await dispatcher.post(dispatcher.look_at_wall)
+            await dispatcher.post(dispatcher.answer_overdue)
             clients.sweep()
             fleet.sweep()
 
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -3,11 +3,15 @@
 from __future__ import annotations
 
 import errno
+import json
 import os
+import signal
 import socket
+import subprocess
+import sys
 import time
-from collections.abc import Callable
-from contextlib import suppress
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager, suppress
 from dataclasses import replace
 from itertools import product
 from pathlib import Path
@@ -47,6 +51,7 @@
 from merlintally.net.sockets import tcp_socket
 from merlintally.net.timers import Clock
 
+ROOT = Path(__file__).resolve().parents[1]
 LONG = b"x" * 60_000
 LONG_ANSWER = b"*3\r\n$60000\r\n" + LONG + b"\r\n$-1\r\n$-1\r\n"
 
@@ -378,6 +383,46 @@
     play(told(known=known(standin)), act, standin)
 
 
+def test_a_file_that_was_half_written_at_a_hangup_is_taken_up_when_it_is_whole(tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    given = json.loads((ROOT / "example/config.json").read_text())
+    with socket.create_server(("127.0.0.1", 0)) as free:
+        given |= {"listen": f"127.0.0.1:{free.getsockname()[1]}", "discovery": "127.0.0.1:1"}
+    path.write_text(json.dumps(given))
+    with socket.create_server(("127.0.0.1", 0)) as new, running_node(path) as node:
+        whole = json.dumps(given | {"discovery": f"127.0.0.1:{new.getsockname()[1]}"})
+        path.write_text(whole[: len(whole) // 2])
+        node.send_signal(signal.SIGHUP)
+        time.sleep(0.4)
+        path.write_text(whole)
+        new.settimeout(3.0)  # within the 4 s that the operators count from the signal on
+        new.accept()[0].close()
+
+
+@contextmanager
+def running_node(path: Path) -> Iterator[subprocess.Popen[bytes]]:
+    """The program itself, once it answers; it is killed at the end."""
+    process = subprocess.Popen(
+        [sys.executable, "-m", "merlintally"],
+        env=os.environ | {"LB_CONFIG": str(path)},
+        cwd=ROOT,
+        stderr=subprocess.DEVNULL,
+    )
+    host, port = json.loads(path.read_text())["listen"].split(":")
+    try:
+        ends = time.monotonic() + 10.0
+        while time.monotonic() < ends:
+            with suppress(OSError), socket.create_connection((host, int(port)), 1.0) as sock:
+                sock.sendall(array(b"PING"))
+                if sock.recv(64) == b"+PONG\r\n":
+                    break
+            time.sleep(0.02)
+        yield process
+    finally:
+        process.kill()
+        process.wait(5.0)
+
+
 # Where a folder lasts, writes and syncs fail for a while.
 
 
