SIGHUP reads a file until it is whole; a start waits for addresses and descriptors

Cause: reread looked at the file once, at the signal; EdgeNode.bind and read_deployment ended the program on EMFILE, ENFILE, ENOBUFS, EADDRINUSE, and signals were heard only behind the listener. One that is JSON with a faulty key is told at once, as before.

--- a/merlintally/net/node.py
+++ b/merlintally/net/node.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import gc
 import os
 import signal
@@ -9,7 +10,7 @@
 import sys
 import time
 import traceback
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable, Mapping
 from contextlib import ExitStack
 from dataclasses import replace
 from functools import partial
@@ -18,7 +19,14 @@
 from anyio.abc import TaskStatus
 
 from merlintally.net.clients import Clients
-from merlintally.net.configuration import Address, Deployment, Faulty, fixed_changes, read_deployment
+from merlintally.net.configuration import (
+    Address,
+    Deployment,
+    Faulty,
+    Unreadable,
+    fixed_changes,
+    read_deployment,
+)
 from merlintally.net.counter import Counter
 from merlintally.net.discovery import Discovery
 from merlintally.net.dispatcher import Dispatcher
@@ -31,7 +39,21 @@
 from merlintally.net.timers import Clock, Timers
 from merlintally.subsets import USUAL, Terms
 
+SWEEP_S = 0.25  # between looks at what idles, stalls or is overdue
 LEAST_BACKLOG, MOST_BACKLOG = 128, 1024  # connections that the system accepted and the node has not
+READ_TRIES, READ_PAUSE_S = 10, 0.1  # of the configuration at a start
+FREED_LATER = frozenset(
+    {
+        errno.EADDRINUSE,
+        errno.EADDRNOTAVAIL,
+        errno.EMFILE,
+        errno.ENFILE,
+        errno.ENOBUFS,
+        errno.ENOMEM,
+        errno.EINTR,
+        errno.EIO,
+    }
+)
 Part = Callable[["EdgeNode", Dispatcher], Awaitable[None]]
 
 
@@ -57,12 +79,16 @@
         self.listening_since = time.monotonic()
         # With those that wait, clients hold no more than the limit of descriptors while app servers need few.
         backlog = min(MOST_BACKLOG, max(LEAST_BACKLOG, self.deployment.server_descriptors))
-        self.listener = socket.create_server(self.deployment.listen, backlog=backlog)
-        self.listener.setblocking(False)
-        if self.deployment.peer_listen is not None:
-            self.peer_sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-            self.peer_sock.setblocking(False)
-            self.peer_sock.bind(self.deployment.peer_listen)
+        with ExitStack() as bound:
+            listener = bound.enter_context(socket.create_server(self.deployment.listen, backlog=backlog))
+            listener.setblocking(False)
+            if self.deployment.peer_listen is not None:
+                peer_sock = bound.enter_context(socket.socket(socket.AF_INET, socket.SOCK_DGRAM))
+                peer_sock.setblocking(False)
+                peer_sock.bind(self.deployment.peer_listen)
+                self.peer_sock = peer_sock
+            self.listener = listener
+            bound.pop_all()  # both are taken: they end with the node
 
     @property
     def address(self) -> Address:
@@ -191,38 +217,88 @@
 
     async def _sweep(self, dispatcher: Dispatcher, clients: Clients, fleet: Fleet) -> None:
         while True:
-            await anyio.sleep(0.25)
+            await anyio.sleep(SWEEP_S)
             await dispatcher.post(dispatcher.look_at_wall)
             await dispatcher.post(dispatcher.answer_overdue)
             clients.sweep()
             fleet.sweep()
 
 
-def reread(node: EdgeNode) -> None:
-    """Guards against a new file that is missing, half written or faulty: the old one stays in force."""
+def reread(node: EdgeNode, first: bool = True) -> bool:
+    """Guards against a new file that is missing, half written or faulty: the old one stays in force. Gives
+    whether the file was read; what is wrong with it is told at the `first` try only."""
     try:
         node.reload(read_deployment(os.environ))
+        return True
     except Faulty as wrong:
-        node.log.say(f"{wrong}; the old configuration stays in force", "configuration.faulty")
+        if first or not isinstance(wrong, Unreadable):
+            node.log.say(f"{wrong}; the old configuration stays in force", "configuration.faulty")
+        return not isinstance(wrong, Unreadable)
+
+
+async def reread_until_whole(node: EdgeNode) -> None:
+    """Take up the file that the node was told to read. Guards against one that is told of while it is being
+    written, or that can't be opened for a moment: nobody would tell of it again."""
     if node.log.reread is not None:
         node.log.reread(node.log)
+    first, bounds = True, node.deployment.bounds
+    with anyio.move_on_after(bounds.reread_s):
+        while not reread(node, first):
+            first = False
+            await anyio.sleep(bounds.again_s)
+
+
+async def bind_patiently(node: EdgeNode) -> None:
+    """Guards against a start that fails for an address, or for descriptors, that are free a moment later."""
+    ends = anyio.current_time() + node.deployment.bounds.bind_s
+    while True:
+        try:
+            return node.bind()
+        except OSError as wrong:
+            if wrong.errno not in FREED_LATER or anyio.current_time() >= ends:
+                raise
+        await anyio.sleep(node.deployment.bounds.again_s)
+
+
+def read_patiently(environment: Mapping[str, str]) -> Deployment:
+    """The configuration at the start; Faulty where it can't be used. A system that is short of descriptors or
+    memory is asked again, for a second at the most."""
+    for _ in range(READ_TRIES - 1):
+        try:
+            return read_deployment(environment)
+        except Unreadable as wrong:
+            if not isinstance(wrong.__cause__, OSError) or wrong.__cause__.errno not in FREED_LATER:
+                raise
+        time.sleep(READ_PAUSE_S)
+    return read_deployment(environment)
+
+
+async def within(
+    scope: anyio.CancelScope, call: Callable[[EdgeNode], Awaitable[None]], node: EdgeNode
+) -> None:
+    """Make a call that ends with `scope`."""
+    with scope:
+        await call(node)
 
 
 async def run_program(deployment: Deployment, log: Log | None = None, parts: Iterable[Part] = ()) -> None:
     """Serve until told to stop by a signal; SIGHUP has the configuration read again."""
     node = EdgeNode(deployment, log, parts)
-    node.bind()
     async with anyio.create_task_group() as group:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
 
             async def listen() -> None:
+                rereading = anyio.CancelScope()
                 async for number in signals:
                     if number == signal.SIGHUP:
-                        reread(node)
+                        rereading.cancel()  # the file is another one now
+                        rereading = anyio.CancelScope()
+                        group.start_soon(within, rereading, reread_until_whole, node)
                     else:
                         node.leave()
 
             group.start_soon(listen)
+            await bind_patiently(node)
             gc.collect()
             gc.freeze()  # what was loaded at the start lasts: it need not be looked at again
             await node.serve()
@@ -240,7 +316,7 @@
     servers, None: off."""
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # guards against one that comes too early, or while it ends
     try:
-        deployment = replace(read_deployment(os.environ), subsets=subsets)
+        deployment = replace(read_patiently(os.environ), subsets=subsets)
     except Faulty as wrong:
         print(f"merlintally: {wrong}", file=sys.stderr)
         return 2
