Reasons of every refusal, close and held-back attempt; totals at the node's end

Need: a refused request could not be told from one that waited too long, a ceiling, a leave or a fault, nor an attempt that a server refused from one the node held back; closes had no reasons at all.

--- a/merlintally/choice.py
+++ b/merlintally/choice.py
@@ -13,7 +13,7 @@
 from statistics import median
 
 from merlintally.interface import CounterOutcome, LaneFacts, LoadReport, Outcome
-from merlintally.interface import PlanFacts, Results, ServerFacts, StartFacts
+from merlintally.interface import PlanFacts, Refusal, Results, ServerFacts, StartFacts
 from merlintally.naming import count_name, phase
 from merlintally.notes import ROW, told, unpack
 from merlintally.ring import Ring, SampleRing
@@ -271,6 +271,7 @@
         self.out: dict[int, AppServer] = {}
         self.risky: dict[int, tuple[AppServer, float]] = {}  # executions that may have run, or may be running
         self.closed = self.drawn = self.beyond = self.streaming = False
+        self.refusal: Refusal | None = None  # why it was ended without an answer of a server
 
     @property
     def settled(self) -> bool:
@@ -388,7 +389,7 @@
         handle = Submission(self, submission, lane, customer, units, now, time_left)
         self.open[submission] = handle
         if time_left <= MARGIN:
-            self.finish(now, handle)
+            self.finish(now, handle, Refusal.NO_TIME)
         elif not self._ask(now, handle):
             self._decide(now, handle)
             self.pull(now)
@@ -532,8 +533,12 @@
         if not inside and customer.soft and customer.extra >= units and not any(self.lines.values()):
             customer.extra -= units
             handle.beyond = True
-        if late or customer.short_of_ceiling(units) or not (inside or handle.beyond):
-            return self.finish(now, handle)  # what cannot be served in time is refused early, too
+        if late:
+            return self.finish(now, handle, Refusal.LATE)  # refused early, too
+        if customer.short_of_ceiling(units):
+            return self.finish(now, handle, Refusal.CEILING)
+        if not (inside or handle.beyond):
+            return self.finish(now, handle, Refusal.BEYOND_QUOTA)
         if inside and not handle.drawn:
             self._draw(now, handle, True)
         self._queue(handle, False)
@@ -568,8 +573,9 @@
         customer.told, customer.fresh = customer.fresh, 0.0
         self.results.adds.append((name, customer.asked, KEEP))
 
-    def finish(self, now: float, handle: Submission) -> None:
-        customer, limit = handle.customer, self.facts.retry_after_limit
+    def finish(self, now: float, handle: Submission, why: Refusal) -> None:
+        """End a submission without an answer of a server: bounced where that is safe, else given up."""
+        handle.refusal, customer, limit = why, handle.customer, self.facts.retry_after_limit
         if handle.may_bounce():  # the time named is when the store should hold the units again
             lacking = handle.units - max(0.0, min(customer.store, customer.granted))
             wait = lacking / customer.common if min(lacking, customer.common) > 0 else limit / 4
@@ -590,7 +596,7 @@
         lane, spent = handle.lane, now >= handle.ends or handle.count >= self.facts.most_executions
         late = now > handle.useful and (lane.late_gain <= 0 or now + lane.floor > handle.ends)
         if late or spent or not handle.may_repeat(now):
-            self.finish(now, handle)
+            self.finish(now, handle, Refusal.NOT_AGAIN)
         else:
             handle.useful = max(handle.useful, min(now + lane.mean, handle.ends))
             self._queue(handle, True)
@@ -629,8 +635,10 @@
                     continue
                 first, customer = not handle.count, handle.customer
                 blocked = first and not customer.room_out(now, handle.lane.mean)
-                if now >= handle.useful or (first and customer.short_of_ceiling(handle.units)):
-                    self.finish(now, handle)
+                if now >= handle.useful:
+                    self.finish(now, handle, Refusal.WAITED)
+                elif first and customer.short_of_ceiling(handle.units):
+                    self.finish(now, handle, Refusal.CEILING)
                 elif blocked or not (server := self._send_best(now, handle, free)):
                     kept.append(handle)
                 else:
@@ -704,7 +712,7 @@
         """End early what waits, in line or for the counter, and can no longer be in time."""
         queues = [*self.lines.values(), *(customer.waiting for customer in self.asking.values())]
         for handle in [one for queue in queues for one in queue if now >= one.useful and not one.closed]:
-            self.finish(now, handle)
+            self.finish(now, handle, Refusal.WAITED)
 
     def _judge(self, now: float) -> None:
         """By a high quantile of answer times beside the fellows'; what is out for long is a sample, too."""
--- a/merlintally/interface.py
+++ b/merlintally/interface.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from enum import StrEnum
 from typing import Literal
 
 Effect = Literal["harmless", "stamped", "one-shot"]
@@ -103,4 +104,16 @@
     wake_after: float | None = None
 
 
+class Refusal(StrEnum):
+    """Why the decisions end a submission without an answer of a server."""
+
+    NO_TIME = "no time is left"
+    LATE = "what waits before it takes longer than it has"
+    BEYOND_QUOTA = "beyond the quota"
+    CEILING = "beyond the ceiling"
+    WAITED = "it waited until it could not be in time"
+    NOT_AGAIN = "its last execution failed, and it may not be sent again"
+    LEAVE = "the node leaves"
+
+
 LoadReport = Mapping[str, float]  # any of: waiting, held, busy, answer_time, answers_per_s, errors_per_s
--- a/merlintally/lab/builds/baselines.py
+++ b/merlintally/lab/builds/baselines.py
@@ -10,7 +10,7 @@
 import random
 from typing import Any
 
-from merlintally.interface import Results, ServerFacts
+from merlintally.interface import Refusal, Results, ServerFacts
 from merlintally.lab.builds.base import Build, TrueState
 from merlintally.lab.judge.referee import NEVER_RAN, Bucket
 from merlintally.lab.model.days import Day
@@ -88,7 +88,7 @@
         if self.admits(now, key, self.plans[plan], units, gateways):
             self.send(now, handle)
         else:
-            self.finish(now, handle)
+            self.finish(now, handle, Refusal.NO_TIME)
         return handle
 
     def admits(self, now: float, key: str, plan: Any, units: float, gateways: int) -> bool:
@@ -119,11 +119,11 @@
 
     def send(self, now: float, handle: Handle) -> None:
         if now >= handle.ends or handle.sends >= self.facts.most_executions:
-            return self.finish(now, handle)
+            return self.finish(now, handle, Refusal.BEYOND_QUOTA)
         server = self.pick(now, handle)
         if server is None:
             if handle.risky or now > handle.taken + 0.5:
-                return self.finish(now, handle)
+                return self.finish(now, handle, Refusal.BEYOND_QUOTA)
             self.waiting.append(handle)
             return
         handle.out[handle.sends] = server
--- a/merlintally/lab/play/nodes.py
+++ b/merlintally/lab/play/nodes.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from merlintally.cluster import FELLOWS
+from merlintally.interface import Refusal
 from merlintally.lab.builds.base import Build
 from merlintally.lab.model.discovery import Entry
 from merlintally.lab.model.requests import Try
@@ -110,7 +111,7 @@
         if now - told >= FINISH_S and waits:
             for taken in list(self.taken.values()):
                 if taken.handle is not None and not taken.handle.closed:
-                    self.gateway.finish(now, taken.handle)
+                    self.gateway.finish(now, taken.handle, Refusal.LEAVE)
             self.carry_out()
         elif now - told >= LEAVE_S and not waits:
             self.kill()
--- a/merlintally/net/dispatcher.py
+++ b/merlintally/net/dispatcher.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import traceback
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable, Sequence
 from dataclasses import replace
 from typing import Any
 
 from merlintally.choice import Gateway
-from merlintally.interface import CounterOutcome
+from merlintally.interface import CounterOutcome, Refusal
 from merlintally.net.configuration import Deployment, Listed
 from merlintally.net.counter import Counter
 from merlintally.net.invariants import LATE_S, Invariant, Invariants
@@ -25,6 +25,10 @@
 
 GIVEN_UP: list[Buffer] = [b"-ERR given up\r\n"]
 BUSY: list[Buffer] = [b"-BUSY\r\n"]
+SERVED = "an app server's answer"  # reasons of answers that no app server gave, beside the decisions' own
+TAKES_NOTHING, OPEN_MOST = "the node takes nothing new", "as many requests are open as may be"
+ID_IS_OPEN, OVERDUE = "a request with this id is open", "its deadline has passed"
+DECISIONS_FAILED = "a fault in the decisions"
 OVERDUE_S = 0.1  # past its deadline, from which a request counts as forgotten by the decisions
 SAME_ID: list[Buffer] = [b"-ERR the id is that of an open submission\r\n"]
 
@@ -46,6 +50,7 @@
         self.gateway = Gateway(deployment.facts, deployment.seed, clock.now())
         self.subset, self.subset_level = subset_of(deployment), 0  # as last told in the log
         self.invariants = Invariants(log)
+        self.answered: Counter[str] = Counter()  # by reason
         self.roster = Roster(self.subset, self.gateway, self._tell_roster)
         self.start_times = StartTimes(clock.wall)
         self.fleet: Fleet
@@ -106,10 +111,10 @@
     def take(self, request: Request) -> None:
         may = not self.leaving and (self.right is None or self.right.may_take())
         if not may or len(self.open_requests) >= self.most_open:
-            self._pass_on(request, BUSY)
+            self._pass_on(request, BUSY, TAKES_NOTHING if not may else OPEN_MOST)
             return
         if request.id in self.ids:  # guards against one that gets, or spoils, what is another's
-            self._pass_on(request, SAME_ID)
+            self._pass_on(request, SAME_ID, ID_IS_OPEN)
             return
         self.ids.add(request.id)
         now = self.clock.now()
@@ -155,6 +160,8 @@
                 attempt=attempt.number,
                 outcome=answer.outcome,
                 after_s=now - attempt.began,
+                written=attempt.written,
+                held_back=attempt.refusal or "",
             )
         request.out.pop(attempt.number, None)
         if answer.value:
@@ -250,7 +257,7 @@
         now, self.leaving = self.clock.now(), True
         for request in list(self.open_requests.values()):
             if request.handle is not None and not request.handle.closed:
-                self.gateway.finish(now, request.handle)
+                self.gateway.finish(now, request.handle, Refusal.LEAVE)
 
     def answer_overdue(self) -> None:
         """Guards against a request that is never answered, whatever went wrong with it: past its deadline it
@@ -261,7 +268,7 @@
             if request.answer is None and not request.gone:
                 self.invariants.check(late_s <= LATE_S, Invariant.ANSWERED_IN_TIME, request.id, late_s=late_s)
                 self._step_if_followed(request, "submission.overdue", late_s=late_s)
-                self._pass_on(request, GIVEN_UP)
+                self._pass_on(request, GIVEN_UP, OVERDUE)
             if request.handle is not None and not request.handle.closed:
                 self._do(request.handle.left, (now,))
             self._forget(request)
@@ -287,7 +294,8 @@
         request.sent += 1
         request.out[attempt.number] = attempt
         if self.log.follows:
-            self._step(request, "execution.sent", attempt=attempt.number, server=server)
+            left_s = request.deadline - now
+            self._step(request, "execution.sent", attempt=attempt.number, server=server, left_s=left_s)
         # Guards against a process stopped for longer than its right lasts, which sends before any timer
         # has told it so: the right is looked up here, at each send.
         may = self.right is None or self.right.may_send(server)
@@ -311,14 +319,16 @@
     def _answer(self, number: int, answer: list[Buffer]) -> None:
         request = self.open_requests.get(number)
         if request is not None:
-            self._pass_on(request, answer)
+            refusal = request.handle.refusal if request.handle is not None else None
+            self._pass_on(request, answer, refusal or DECISIONS_FAILED)
             self._forget(request)
 
-    def _pass_on(self, request: Request, answer: list[Buffer]) -> None:
-        """The final answer of a request: the first one, and never another."""
+    def _pass_on(self, request: Request, answer: list[Buffer], why: str = "") -> None:
+        """The final answer of a request: the first one, and never another; `why` where no server gave it."""
         if request.answer is None and not request.gone:
+            self.answered[why or SERVED] += 1
             if self.log.follows:
-                self._step(request, "submission.answered", answer=kind_of(answer))
+                self._step(request, "submission.answered", answer=kind_of(answer), why=why)
             request.answer = answer
             request.client.pass_on()
 
--- a/merlintally/net/node.py
+++ b/merlintally/net/node.py
@@ -10,6 +10,7 @@
 import sys
 import time
 import traceback
+from collections import Counter
 from collections.abc import Awaitable, Callable, Iterable, Mapping
 from contextlib import ExitStack
 from dataclasses import replace
@@ -30,6 +31,7 @@
 from merlintally.net.counter import Counter
 from merlintally.net.discovery import Discovery
 from merlintally.net.dispatcher import Dispatcher
+from merlintally.net.invariants import Invariant
 from merlintally.net.log import Log
 from merlintally.net.peers import Peers
 from merlintally.net.phases import Phase, Phases
@@ -210,6 +212,19 @@
             while clients.connections:
                 await anyio.sleep(0.02)
         self.phases.enter(Phase.ENDED)
+        self._tell_totals(dispatcher, clients)
+
+    def _tell_totals(self, dispatcher: Dispatcher, clients: Clients) -> None:
+        """What the node has done, and why, in one line."""
+        fleet, parts = dispatcher.fleet, (dispatcher, dispatcher.fleet, clients)
+        broken = sum((part.invariants.broken for part in parts), Counter[Invariant]())
+        totals = {
+            "answers": dict(dispatcher.answered),
+            "closed": {reason.name: count for reason, count in clients.closed.items()},
+            "held_back": {reason.name: count for reason, count in fleet.guard.refused.items()},
+            "invariants_broken": {invariant.name: count for invariant, count in broken.items()},
+        }
+        self.log.say(f"ends: {totals}", "node.ended", **totals)
 
     async def _until_answered(self, dispatcher: Dispatcher, clients: Clients) -> None:
         while dispatcher.open_requests or any(not client.finished for client in clients.connections):
