--- a/merlintally/lab/builds/baselines.py
+++ b/merlintally/lab/builds/baselines.py
@@ -137,7 +137,7 @@
     def again(self, now: float, handle: Handle) -> None:
         self.send(now, handle)
 
-    def finish(self, now: float, handle: Handle) -> None:
+    def finish(self, now: float, handle: Handle, why: Refusal) -> None:
         if handle.closed:
             return
         safe = not handle.risky or handle.lane.effect == "harmless"
--- a/merlintally/lab/judge/account.py
+++ b/merlintally/lab/judge/account.py
@@ -103,9 +103,9 @@
         self.kind, self.kept = kind, (kind.finish, kind._queue, kind._ask)
         finish, queue, ask = self.kept
 
-        def finished(gateway: Any, now: float, handle: Any) -> Any:
+        def finished(gateway: Any, now: float, handle: Any, why: Any) -> Any:
             self.causes[handle.id] = cause_of(handle, now)
-            return finish(gateway, now, handle)
+            return finish(gateway, now, handle, why)
 
         def queued(gateway: Any, handle: Any, first: bool) -> Any:
             if not first:
--- a/merlintally/net/dispatcher.py
+++ b/merlintally/net/dispatcher.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import collections
 import traceback
-from collections import Counter, deque
+from collections import deque
 from collections.abc import Callable, Sequence
 from dataclasses import replace
 from typing import Any
@@ -50,7 +51,7 @@
         self.gateway = Gateway(deployment.facts, deployment.seed, clock.now())
         self.subset, self.subset_level = subset_of(deployment), 0  # as last told in the log
         self.invariants = Invariants(log)
-        self.answered: Counter[str] = Counter()  # by reason
+        self.answered: collections.Counter[str] = collections.Counter()  # by reason
         self.roster = Roster(self.subset, self.gateway, self._tell_roster)
         self.start_times = StartTimes(clock.wall)
         self.fleet: Fleet
--- a/merlintally/net/node.py
+++ b/merlintally/net/node.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import errno
 import gc
 import os
@@ -10,7 +11,6 @@
 import sys
 import time
 import traceback
-from collections import Counter
 from collections.abc import Awaitable, Callable, Iterable, Mapping
 from contextlib import ExitStack
 from dataclasses import replace
@@ -217,7 +217,7 @@
     def _tell_totals(self, dispatcher: Dispatcher, clients: Clients) -> None:
         """What the node has done, and why, in one line."""
         fleet, parts = dispatcher.fleet, (dispatcher, dispatcher.fleet, clients)
-        broken = sum((part.invariants.broken for part in parts), Counter[Invariant]())
+        broken = sum((part.invariants.broken for part in parts), collections.Counter[Invariant]())
         totals = {
             "answers": dict(dispatcher.answered),
             "closed": {reason.name: count for reason, count in clients.closed.items()},
@@ -254,13 +254,13 @@
 async def reread_until_whole(node: EdgeNode) -> None:
     """Take up the file that the node was told to read. Guards against one that is told of while it is being
     written, or that can't be opened for a moment: nobody would tell of it again."""
+    was_read, bounds = reread(node), node.deployment.bounds
     if node.log.reread is not None:
         node.log.reread(node.log)
-    first, bounds = True, node.deployment.bounds
     with anyio.move_on_after(bounds.reread_s):
-        while not reread(node, first):
-            first = False
+        while not was_read:
             await anyio.sleep(bounds.again_s)
+            was_read = reread(node, first=False)
 
 
 async def bind_patiently(node: EdgeNode) -> None:
