--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -246,6 +246,30 @@
         play(told(known=known(standin)), act, standin)
 
 
+def test_a_client_that_has_just_come_stays_though_accept_fails_for_a_moment(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Found by the soak: each failed accept closed silent connections, as if descriptors were short."""
+
+    async def act(scene: Scene) -> None:
+        calls = FailingCalls(monkeypatch, scene.node.address[1], "accept")
+        with await scene.connect() as first, await scene.connect() as second:
+            await anyio.sleep(0.02)
+            async with anyio.create_task_group() as group:
+                group.start_soon(calls.for_a_moment, errors.pop(), 0.2)
+                waiting = await scene.connect()
+                await anyio.sleep(0.1)
+            for sock in (first, second, waiting):
+                sock.sendall(said())
+                assert await scene.hear(sock, until=1) == HI
+            waiting.close()
+
+    errors = [errno.ENFILE, errno.EMFILE, errno.ENOBUFS, errno.EPROTO]
+    while errors:
+        standin = server()
+        play(told(known=known(standin)), act, standin)
+
+
 def test_a_client_is_answered_though_reads_and_writes_fail_for_a_moment(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
