--- a/merlintally/net/clients.py
+++ b/merlintally/net/clients.py
@@ -385,6 +385,7 @@
         self.closures = Closures()
         self.closed: Counter[CloseReason] = Counter()
         self.invariants = Invariants(log)
+        self.failing_since = float("inf")  # when accepting began to fail, if it does
         self.refused_unopened = 0  # commands answered as busy since their connections were about to end
         self.ready_times = ready_times()
         self.limits = AdmissionLimits.of(descriptors.most, self.bounds.client_reserve_share)
@@ -410,12 +411,24 @@
             await anyio.wait_readable(self.listener)
             ready_since = self.ready_times.since(self.listener.fileno()) + self.clock.offset
             self.backlog_empty_at = max(self.backlog_empty_at, ready_since)
-            scarce = self.accept_all(AT_ONCE)
+            failure = self.accept_all(AT_ONCE)
             await anyio.sleep(0)  # guards against others kept waiting where hundreds connect at once
-            if scarce:  # guards against a loop that spins on a listener it can't accept from
-                self._tell_of_failed_accept(scarce)
-                self.give_way(MADE_ROOM, urgent=True)
-                await anyio.sleep(self.bounds.again_s)
+            await self._failed_accept(failure)
+
+    async def _failed_accept(self, failure: OSError | None) -> None:
+        """Guards against a loop that spins on a listener it can't accept from, and against clients closed for
+        a call that failed once: room is made only where descriptors stay short."""
+        if failure is None:
+            self.failing_since = float("inf")
+            return
+        now = self.clock.now()
+        if self.failing_since > now:
+            self.failing_since = now
+            self._tell_of_failed_accept(failure)
+        lasting = now - self.failing_since > self.bounds.shortage_s
+        if lasting and failure.errno in SCARCE:
+            self.give_way(MADE_ROOM, urgent=True)
+        await anyio.sleep(self.bounds.again_s if lasting else RETRY_S)
 
     def accept_all(self, most: int = 1 << 30, beyond: bool = False) -> OSError | None:
         """Accept up to `most`; `beyond`: also those for which no descriptors are meant. Gives the error for
--- a/merlintally/net/configuration.py
+++ b/merlintally/net/configuration.py
@@ -56,6 +56,7 @@
     spared_s: float = 4.0  # between calls to discovery once it says that it is overloaded
     spared_most_s: float = 20.0  # and at the most, while it goes on saying so
     asked_before_s: float = 0.5  # by which a call to discovery comes before what it lists counts as told
+    shortage_s: float = 0.3  # for which accepting has to fail before connections are closed for it
     accept_patience_s: float = 1.0  # for connections that wait at a leave, where accepting them fails
     leave_s: float = 0.5  # for which requests are still taken after being told to stop
     finish_s: float = 3.4  # after which all that is still open is ended
--- a/merlintally/net/counter.py
+++ b/merlintally/net/counter.py
@@ -126,15 +126,8 @@
                 if not self.unsent:
                     self._wanted = anyio.Event()
                     await self._wanted.wait()
-                stream, where = Stream(tcp_socket()), self.where
-                try:
-                    with anyio.fail_after(self.time_out):
-                        await connect(stream.sock, where)
-                except OSError as wrong:  # one in time: calls that waited for it are over at their own times
-                    stream.close()
-                    if not isinstance(wrong, TimeoutError):
-                        self.log.say(f"the counter can't be reached: {wrong.strerror}", "counter.unreachable")
-                        await self._lose(self.unsent)
+                where = self.where
+                if (stream := await self._connected(where)) is None:
                     continue
                 if where != self.where:
                     stream.close()
@@ -145,6 +138,29 @@
                 self._write()
                 await line.left.wait()
 
+    async def _connected(self, where: Address) -> Stream | None:
+        """A connection to the counter; None where there is none now. One that does not come up in time ends
+        no calls: they are over at their own times."""
+        try:
+            stream = Stream(tcp_socket())
+        except OSError as wrong:
+            await self._unreachable(wrong)
+            return None
+        try:
+            with anyio.fail_after(self.time_out):
+                await connect(stream.sock, where)
+            return stream
+        except TimeoutError:
+            stream.close()
+        except OSError as wrong:
+            stream.close()
+            await self._unreachable(wrong)
+        return None
+
+    async def _unreachable(self, wrong: OSError) -> None:
+        self.log.say(f"the counter can't be reached: {wrong.strerror}", "counter.unreachable")
+        await self._lose(self.unsent)
+
     async def _lose(self, calls: deque[Call]) -> None:
         while calls:
             await self.dispatcher.post(self._lost, calls.popleft())
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+import io
 import json
 import os
 import signal
@@ -16,7 +17,7 @@
 from itertools import product
 from pathlib import Path
 from typing import Any
-from unittest.mock import Mock
+from unittest.mock import AsyncMock, Mock
 
 import anyio
 import pytest
@@ -43,6 +44,7 @@
 from merlintally.cluster.agreement import Config, Entry, Snapshot
 from merlintally.cluster.disk import Disk, Full
 from merlintally.interface import ServerFacts
+from merlintally.net import counter as counter_module
 from merlintally.net import servers
 from merlintally.net.configuration import Bounds, Listed
 from merlintally.net.dispatcher import Dispatcher
@@ -305,6 +307,38 @@
     play(told(known=known(standin), bounds=Bounds(pipelined=1, finish_s=0.8)), act, standin)
 
 
+def test_the_counter_goes_on_where_no_socket_can_be_had_for_a_moment(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Found by the soak: its task ended with the connections that other calls waited on."""
+    made = list[None]()
+
+    def failing_once() -> socket.socket:
+        made.append(None)
+        if len(made) == 1:
+            raise OSError(errno.ENFILE, "for a moment")
+        return tcp_socket()
+
+    monkeypatch.setattr(counter_module, "tcp_socket", failing_once)
+    heard, standin = list[str](), Standin(lambda words: b"ok 1\r\n" * words.count(b"\r\n") or b"")
+    owner = Mock(counted=lambda _name, outcome, *_: heard.append(outcome))
+    owner.post = AsyncMock(side_effect=lambda call, *args: call(*args))
+
+    async def act() -> None:
+        counter = counter_module.Counter(
+            standin.address, 1.0, Bounds(), owner, Clock(), Mock(), Log("n", 9.0, io.StringIO())
+        )
+        async with anyio.create_task_group() as group:
+            group.start_soon(standin.run)
+            group.start_soon(counter.run)
+            assert counter.add(7, 1.0, 60.0)
+            await until(lambda: heard == ["unreachable"])
+            assert counter.add(7, 1.0, 60.0)
+            await until(lambda: heard == ["unreachable", "ok"])
+            group.cancel_scope.cancel()
+
+    anyio.run(act)
+    standin.sock.close()
+
+
 # A client leaves unseen.
 
 
