Red: ceilings of forgotten customers, repeats in another group, a version of another discovery

Found on reading, forced by tests: a customer unseen for a minute begins anew with the ceiling that the node's age allows (200 units where 40 had come); a server listed in another group took a keyed repeat; the version of an address that discovery has left is kept where the queue was full.

--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -16,6 +16,7 @@
 from dataclasses import replace
 from itertools import product
 from pathlib import Path
+from random import Random
 from typing import Any
 from unittest.mock import AsyncMock, Mock
 
@@ -25,12 +26,15 @@
     HI,
     IDS,
     OK,
+    PLAN,
     SERVER,
     Scene,
     Standin,
     answers_in,
     gateway,
     known,
+    lane,
+    listing,
     play,
     said,
     server,
@@ -47,6 +51,7 @@
 from merlintally.net import counter as counter_module
 from merlintally.net import servers
 from merlintally.net.configuration import Bounds, Listed
+from merlintally.net.discovery import Discovery
 from merlintally.net.dispatcher import Dispatcher
 from merlintally.net.log import Log
 from merlintally.net.resp import array
@@ -538,3 +543,52 @@
     disk.write([entry(2, b"again")])
     disk.close()
     assert words_kept(tmp_path) == [b"one", b"again"]
+
+
+# State that outlives what it was true of.
+
+
+def test_a_customer_that_is_forgotten_gets_no_more_of_its_ceiling() -> None:
+    """With a deep store and a low rate, a minute of silence filled it: it began anew as after a long run."""
+    deep = replace(PLAN, ceiling_rate=1.0, ceiling_burst=400.0)
+    at = gateway(plan=deep)
+    at.customers.clear()
+    take(at, now=1000.0)
+    one = at.customers["c"]
+    one.part, one.out, one.asked = 0.0, 0, None
+    for now in (1061.0, 1070.0, 1080.0):
+        at.alarm = 0.0
+        at.wake(now)
+    take(at, 2, now=1081.0)
+    assert at.customers["c"].part <= deep.ceiling_rate / 2 * 81.0 + 0.01
+
+
+def test_a_repeat_goes_by_the_group_in_which_the_first_one_ran() -> None:
+    """A server listed anew in another group took the first one's place there, and the key with it."""
+    at = gateway((lane(effect="stamped", discard_group="cell"),))
+    handle = take(at)
+    assert [server for _, server, _ in at.take_results(100.0).sends] == ["s1"]
+    at.roster(100.1, [replace(SERVER, cell=5)], complete=True)
+    handle.out.clear()
+    assert at._may_send(100.2, handle, at.servers["s1"]) == "no effect twice"
+
+
+def test_a_list_that_is_taken_while_discovery_moves_leaves_no_version_behind() -> None:
+    """The new address was watched from a version of the old one's, and changes before it were never told."""
+    release, chance = anyio.Event(), Random(1)
+
+    async def blocked(*_: Any) -> None:
+        await release.wait()
+
+    async def act() -> None:
+        old, new = ("127.0.0.1", 1), ("127.0.0.1", 2)
+        owner = Mock(post=AsyncMock(side_effect=blocked))
+        discovery = Discovery(old, 3, Bounds(), owner, chance, Log("n", 9.0))
+        async with anyio.create_task_group() as group:
+            group.start_soon(discovery._take, listing(silent(), index=4).partition(b"\r\n\r\n")[2])
+            await until(lambda: owner.post.called)
+            discovery.move(new)
+            release.set()
+        assert discovery.version is None
+
+    anyio.run(act)
