Ceilings outlive forgotten customers; repeats go by the group of the first; no stale version

Causes: Customer.idle let one go after a minute whatever its part of the ceiling held; AppServer's zone and group were those of its first listing, and Submission.risky read them of the server as it is now; Discovery._take noted a version behind the wait for the queue, in which discovery may have moved. Change: a customer stays until its part is filled; an Execution keeps zone and group of its send, and lists bring them up to date; the version is noted first. test_stamped_goes_again... sets an Execution where it set a pair.

--- a/merlintally/choice.py
+++ b/merlintally/choice.py
@@ -11,6 +11,7 @@
 from collections import deque
 from collections.abc import Iterable
 from statistics import median
+from typing import NamedTuple
 
 from merlintally.interface import CounterOutcome, LaneFacts, LoadReport, Outcome
 from merlintally.interface import PlanFacts, Refusal, Results, ServerFacts, StartFacts
@@ -182,8 +183,9 @@
     def idle(self, now: float) -> bool:
         """Whether forgetting it loses nothing."""
         self.advance(now)
-        full, unseen = self.store >= self.plan.burst and self.part >= self.part_depth, now - self.seen
-        return not self.out and self.asked is None and (unseen > KEEP or (full and unseen > STALE))
+        unseen, full = now - self.seen, self.store >= self.plan.burst
+        filled = self.part >= self.part_depth  # else a ceiling would begin anew with more than is left of it
+        return filled and not self.out and self.asked is None and unseen > (STALE if full else KEEP)
 
 
 class AppServer:
@@ -252,6 +254,15 @@
             self.places = max(LEAST_PLACES * self.first_places, self.places * 0.7)
 
 
+class Execution(NamedTuple):
+    """Where and when one was sent; zone and group as they were then."""
+
+    server: AppServer
+    sent: float
+    zone: str
+    cell: int
+
+
 class Submission:
     """The handle of one taken submission."""
 
@@ -269,7 +280,7 @@
         self.units, self.count, self.taken, self.ends = units, 0, now, now + time_left - MARGIN
         self.useful = min(now + lane.quoted_time - min(2 * lane.mean, 0.6 * lane.quoted_time), self.ends)
         self.out: dict[int, AppServer] = {}
-        self.risky: dict[int, tuple[AppServer, float]] = {}  # executions that may have run, or may be running
+        self.risky: dict[int, Execution] = {}  # those that may have run, or may be running
         self.closed = self.drawn = self.beyond = self.streaming = False
         self.refusal: Refusal | None = None  # why it was ended without an answer of a server
 
@@ -330,7 +341,7 @@
     def begin_by(self, number: int) -> float:
         """Until when execution `number` may begin, by rules 1 and 2. Guards against a connection that comes
         up late, and a repeat that goes out on it when it is no longer remembered."""
-        first = min((sent for at, (_, sent) in self.risky.items() if at < number), default=None)
+        first = min((one.sent for at, one in self.risky.items() if at < number), default=None)
         if first is None or self.lane.effect != "stamped":
             return self.ends
         return min(self.ends, first + self.lane.remembered - MARGIN)
@@ -415,7 +426,8 @@
             one = self.servers.setdefault(entry.server, AppServer(entry, FIRST_PLACES / self.sharing))
             if entry.started > one.started:
                 one.renew(entry)
-            one.presence, self.worth_at = entry.presence, -1.0
+            one.presence, one.zone, one.cell = entry.presence, entry.zone, entry.cell
+            self.worth_at = -1.0
         # Guards against machines replaced for months, which would count as ones without places.
         self.servers = {name: one for name, one in self.servers.items() if one.presence != "gone" or one.out}
         self.slow_start.listed(now, len(self.servers))
@@ -650,7 +662,7 @@
     def _send_best(self, now: float, handle: Submission, free: list[AppServer]) -> AppServer | None:
         """Send to the one expected to answer first; with few places, of those known and a few others."""
         best, lowest, some = None, float("inf"), max(FEW, int(self.places(now)))
-        tried = [server for server, _ in handle.risky.values()]
+        tried = [one.server for one in handle.risky.values()]
         if not handle.count and len(free) > some:
             known = [server for server in free if now - server.answered_at < FAMILIAR]
             free = self.random.sample(free, some) + known
@@ -674,7 +686,7 @@
         if (handle.out and not facts.parallel) or not handle.may_repeat(now):
             return "no effect twice"
         if lane.effect == "stamped" and lane.group != "all":
-            for other, _ in handle.risky.values():
+            for other in handle.risky.values():
                 if other.zone != server.zone or (lane.group == "cell" and other.cell != server.cell):
                     return "no effect twice"
         if server.presence != "on":
@@ -692,7 +704,8 @@
         server.credit -= 1 if number else 0
         customer.part -= 0 if number else handle.units
         handle.count += 1
-        handle.out[number], handle.risky[number] = server, (server, now)
+        handle.out[number] = server
+        handle.risky[number] = Execution(server, now, server.zone, server.cell)
         server.out[(handle.id, number)] = (now, handle.lane, handle.units)
         self.slow_start.sent(server.name, server.started)
         server.spare = max(0, server.spare - 1)
--- a/merlintally/net/discovery.py
+++ b/merlintally/net/discovery.py
@@ -174,6 +174,7 @@
             raise Malformed("the whole list was asked for, and changes came")
         if self.version is not None and index < self.version:  # guards against a drain that is taken back
             raise Malformed(f"an answer is of version {index}, older than {self.version}, which is held")
+        # Before the wait for the queue: discovery may move meanwhile, and versions there are others.
+        self.version, self.broken = index, False
         if entries or complete:
             await self.dispatcher.post(self.dispatcher.listed, entries, complete)
-        self.version, self.broken = index, False
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -118,7 +118,7 @@
     at = gateway((lane(effect="stamped", discard_group="cell"),))
     at.roster(100.0, [replace(SERVER, server="s2", cell=1), replace(SERVER, server="s3")], complete=False)
     handle = take(at)
-    handle.risky = {0: (at.servers["s1"], 100.0)}
+    handle.risky = {0: Execution(at.servers["s1"], 100.0, "z", 0)}
     assert at._may_send(101.0, handle, at.servers["s2"]) == "no effect twice"
     assert at._may_send(101.0, handle, at.servers["s3"]) is None
     assert at._may_send(103.5, handle, at.servers["s3"]) == "no effect twice"
