--- a/merlintally/lab/soak/run.py
+++ b/merlintally/lab/soak/run.py
@@ -28,6 +28,7 @@
 TROUBLES_AT_ONCE = 3
 SETTLE_S = DEADLINE_S + 1.5  # behind the last request
 VISITS_PER_NODE_S = 6.0
+NODE_PORTS = (12_000, 30_000)
 Trouble = Callable[[], Awaitable[None]]
 
 
@@ -43,11 +44,12 @@
     driver_lag_s: float = 0.0
 
 
-def free_port() -> int:
-    """A port of loopback that is nobody's now."""
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        return int(sock.getsockname()[1])
+def free_port(chance: Random) -> int:
+    """A port of loopback that is nobody's now, and that the system gives to no outgoing connection."""
+    while True:
+        with socket.socket() as sock, suppress(OSError):
+            sock.bind((HOST, chance.randint(*NODE_PORTS)))
+            return int(sock.getsockname()[1])
 
 
 class Soak:
@@ -57,7 +59,7 @@
         self.seed, self.seconds, self.chance = seed, seconds, Random(seed)
         self.records, self.troubles = Records(), Counter[str]()
         names = [f"n{number}" for number in range(nodes)]
-        self.nodes = [SoakNode(name, free_port(), folder, self.records) for name in names]
+        self.nodes = [SoakNode(name, free_port(Random()), folder, self.records) for name in names]
         servers = max(4, nodes // 2)
         self.servers = [SoakServer(f"s{at}", self.records, self.chance, names) for at in range(servers)]
         self.discovery, self.counter = SoakDiscovery(self.servers, self.records), SoakCounter()
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -592,3 +592,21 @@
         assert discovery.version is None
 
     anyio.run(act)
+
+
+def test_an_address_that_stays_taken_is_told_in_one_line(tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    given = json.loads((ROOT / "example/config.json").read_text())
+    with socket.create_server(("127.0.0.1", 0)) as taken_by:
+        given |= {"listen": f"127.0.0.1:{taken_by.getsockname()[1]}", "node": {"bind_s": 0.2}}
+        path.write_text(json.dumps(given))
+        ended = subprocess.run(
+            [sys.executable, "-m", "merlintally"],
+            env=os.environ | {"LB_CONFIG": str(path)},
+            cwd=ROOT,
+            stderr=subprocess.PIPE,
+            text=True,
+            timeout=20,
+        )
+    assert ended.returncode == 1
+    assert ended.stderr.startswith("merlintally: can't serve: ") and ended.stderr.count("\n") == 1
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -5,6 +5,8 @@
 import pytest
 from helpers import PLAN, SERVER, customer, gateway, lane, take
 
+from merlintally.choice import Execution
+
 
 def test_within_quota_is_sent_at_once() -> None:
     at = gateway()
