A taken address is told in one line again

Cause: run_program takes the address within its task group, which hands errors on in a group that main does not know. Change: the error is raised behind the group.

--- a/merlintally/net/node.py
+++ b/merlintally/net/node.py
@@ -297,8 +297,10 @@
 
 
 async def run_program(deployment: Deployment, log: Log | None = None, parts: Iterable[Part] = ()) -> None:
-    """Serve until told to stop by a signal; SIGHUP has the configuration read again."""
+    """Serve until told to stop by a signal; SIGHUP has the configuration read again. OSError where the
+    addresses can't be taken."""
     node = EdgeNode(deployment, log, parts)
+    not_bound: OSError | None = None
     async with anyio.create_task_group() as group:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
 
@@ -313,12 +315,18 @@
                         node.leave()
 
             group.start_soon(listen)
-            await bind_patiently(node)
             gc.collect()
             gc.freeze()  # what was loaded at the start lasts: it need not be looked at again
-            await node.serve()
+            try:
+                await bind_patiently(node)
+            except OSError as wrong:
+                not_bound = wrong
+            else:
+                await node.serve()
         signal.signal(signal.SIGHUP, signal.SIG_IGN)  # as it is before the node listens for it
         group.cancel_scope.cancel()
+    if not_bound is not None:
+        raise not_bound
 
 
 def main(
