Red: a held-up repeat, a start in a failing folder, a vote from an empty one

Found on reading. A keyed repeat looked at 0.03 s before its window's end is written up to 0.15 s later; EIO or ENOSPC for a moment ends the start of a node with a folder; a start that is killed between the log of an empty folder and the note that it is blank votes the next time.

--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -47,6 +47,7 @@
 from merlintally.choice import Gateway, Submission
 from merlintally.cluster.agreement import Config, Entry, Snapshot
 from merlintally.cluster.disk import Disk, Full
+from merlintally.cluster.node import open_disk
 from merlintally.interface import ServerFacts
 from merlintally.net import counter as counter_module
 from merlintally.net import servers
@@ -610,3 +611,37 @@
         )
     assert ended.returncode == 1
     assert ended.stderr.startswith("merlintally: can't serve: ") and ended.stderr.count("\n") == 1
+
+
+def test_a_repeat_begins_within_its_window_though_the_node_is_held_up_before_it_writes() -> None:
+    at = gateway((lane(effect="stamped", discard_group="all", remembered=1.0),))
+    handle = take(at)
+    handle.out.clear()
+    assert handle.may_repeat(100.8) and not handle.may_repeat(100.86)
+    assert handle.begin_by(1) + 0.15 <= 101.0
+
+
+def test_a_folder_that_fails_for_a_moment_holds_up_a_start_and_ends_it_not(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    fsync, failures = os.fsync, [errno.EIO, errno.ENOSPC]
+
+    def failing_at_first(file: int) -> None:
+        if failures:
+            raise OSError(failures.pop(), "for a moment")
+        fsync(file)
+
+    monkeypatch.setattr(os, "fsync", failing_at_first)
+    disk = open_disk(ClusterPart(folder=str(tmp_path)))
+    assert disk.start >= 1 and not failures
+
+
+def test_a_start_cut_off_in_an_empty_folder_leaves_it_without_a_vote(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The log was there already, and the note that nothing in it was ever promised was not."""
+    with monkeypatch.context() as killed:
+        killed.setattr(Path, "read_bytes", fails_after(Path.read_bytes, 0))
+        with pytest.raises(OSError):
+            Disk(tmp_path)
+    assert Disk(tmp_path).blank
