Windows allow for a held-up write; folders are opened patiently, blank ones noted first

Causes: Submission.begin_by kept 0.03 s of a window, and the operators hold a node up for 0.15 s before it writes; open_disk tried once; Disk noted a blank folder behind its log. Change: begin_by keeps 0.15 s more (the standing test's figure); open_disk tries for 4 s while calls fail for a moment; the note comes first and is synced, and a folder that can't be opened leaves no descriptors behind. Starts of servers that are gone are forgotten.

--- a/merlintally/choice.py
+++ b/merlintally/choice.py
@@ -38,6 +38,7 @@
 PATIENCE = 15.0  # mean answer times, divided by how slow the server is found, until an execution is timed out
 EMPTY = (0.25, 8.0)  # weight of one first news in the share that tells of empty stores; what that takes off
 LOOKED_AT, MARGIN = 16, 0.03  # pieces passed over in a line; seconds before a hard limit without a new one
+HELD_UP = 0.15  # seconds for which a node may stand between reading its clock and writing, by the operators
 TICK = (0.03, 0.1, 0.5)  # seconds between wake-ups while anything waits, while submissions are open, and else
 LOST = 0.25  # seconds after its time from which a wake-up counts as lost, and another is set
 NO_QUOTA = PlanFacts("", 0, 0, 0, 0, 0, 0, 0, 0, 0)  # of plans never stated: nothing is let in
@@ -344,7 +345,7 @@
         first = min((one.sent for at, one in self.risky.items() if at < number), default=None)
         if first is None or self.lane.effect != "stamped":
             return self.ends
-        return min(self.ends, first + self.lane.remembered - MARGIN)
+        return min(self.ends, first + self.lane.remembered - HELD_UP - MARGIN)
 
 
 class Gateway:
--- a/merlintally/cluster/disk.py
+++ b/merlintally/cluster/disk.py
@@ -19,6 +19,7 @@
 from merlintally.cluster.copies import Row
 
 FORM = b"merlintally log 1\n"
+CLOSED = -1  # of a file descriptor
 HEAD = 8  # bytes before a record: its length and checksum
 MOST = 64 << 20  # bytes of one record
 ROWS: dict[str, Any] = {
@@ -86,6 +87,7 @@
     def __init__(self, folder: Path) -> None:
         """Open the folder, made if missing; Spoilt, or OSError where another process holds it."""
         self.folder, self.path = folder, folder / "agreement.log"
+        self.file = self.mark = CLOSED
         self.failed = False  # a call failed, and what the log holds has to be looked at again
         folder.mkdir(parents=True, exist_ok=True)
         self.lock = os.open(folder / "lock", os.O_RDWR | os.O_CREAT, 0o644)
@@ -98,6 +100,8 @@
             self.mark = os.open(folder / "synced", os.O_RDWR | os.O_CREAT, 0o644)
             self.blank = not self.path.exists()
             if self.blank:
+                (folder / "blank").touch()  # before the log: a start that is killed between must not vote
+                self._sync_folder()
                 self.kept = Kept()
                 self._begin_anew()
             data = self.path.read_bytes()
@@ -113,11 +117,11 @@
             os.lseek(self.file, 0, os.SEEK_END)
             self._mark(self.size)
             self.blank = self.blank or (folder / "blank").exists()
-            if self.blank:
-                (folder / "blank").touch()
             self.start = self._next_start()
         except BaseException:
-            os.close(self.lock)
+            for opened in (self.file, self.mark, self.lock):
+                if opened != CLOSED:
+                    os.close(opened)
             raise
 
     def _mark(self, size: int) -> None:
--- a/merlintally/cluster/node.py
+++ b/merlintally/cluster/node.py
@@ -36,6 +36,8 @@
 from merlintally.operators import ClusterPart
 
 QUEUE, AGAIN_S, RATE_S, CLIENT_S = 4096, 1.0, 2.0, 10.0
+OPEN_TRIES, OPEN_PAUSE_S = 20, 0.2  # of the folder at a start
+PASSING = frozenset({errno.EIO, errno.ENOSPC, errno.EDQUOT, errno.EINTR, errno.ENFILE, errno.EMFILE})
 KEEP_S, HEARD_S = 5.0, 0.4  # between copies on disk; between words to the decisions that all is heard
 MOST_NOTES, MOST_DRAWN = 1024, 500.0  # notes that wait; units of a customer told on at once
 
@@ -437,5 +439,13 @@
 
 
 def open_disk(part: ClusterPart) -> Disk:
-    """The node's folder; OSError or Spoilt say why it can't be used."""
+    """The node's folder; OSError or Spoilt say why it can't be used. One whose writes fail, or that is full,
+    is tried again for some seconds: it may be so for a moment only."""
+    for _ in range(OPEN_TRIES - 1):
+        try:
+            return Disk(Path(part.folder))
+        except OSError as wrong:
+            if wrong.errno not in PASSING:
+                raise
+        time.sleep(OPEN_PAUSE_S)
     return Disk(Path(part.folder))
--- a/merlintally/net/start_times.py
+++ b/merlintally/net/start_times.py
@@ -53,7 +53,7 @@
 
     def _by_clock(self, now: float, entry: Listed) -> Listed:
         server, stated = entry.facts.server, entry.facts.started
-        if stated <= 0:  # long ago
+        if stated <= 0 or entry.facts.presence == "gone":  # long ago, or of no matter any more
             self._known.pop(server, None)
             return entry
         known = self._known.get(server)
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -58,6 +58,7 @@
 from merlintally.net.resp import array
 from merlintally.net.sockets import tcp_socket
 from merlintally.net.timers import Clock
+from merlintally.operators.file import ClusterPart
 
 ROOT = Path(__file__).resolve().parents[1]
 LONG = b"x" * 60_000
