--- a/merlintally/cluster/node.py
+++ b/merlintally/cluster/node.py
@@ -3,6 +3,7 @@
 
 from __future__ import annotations
 
+import errno
 import time
 import traceback
 import zlib
