--- a/merlintally/cli/lab.py
+++ b/merlintally/cli/lab.py
@@ -91,6 +91,7 @@
         "why": ("merlintally.cli.lab:why", "Account for a day's loss, by cause."),
         "follow": ("merlintally.cli.lab:follow_one", "Follow one submission through records or logs."),
         "faults": ("merlintally.cli.faults:faults", "Play processes with faults between them."),
+        "soak": ("merlintally.cli.soak:soak", "Play node processes under random overlapping faults."),
         "schedules": ("merlintally.cli.faults:schedules", "Try the cluster's cores in seeded schedules."),
         "scale": ("merlintally.cli.scale:scale", "Costs by size, held against the operators' budgets."),
         "list": ("merlintally.cli.lab:list_days", "List the days that come with the program."),
--- a/merlintally/lab/soak/backends.py
+++ b/merlintally/lab/soak/backends.py
@@ -4,10 +4,11 @@
 
 import asyncio
 import json
+import socket
 import time
 from collections import defaultdict
 from contextlib import suppress
-from random import Random
+from random import Random, randint
 
 import h11
 
@@ -19,6 +20,15 @@
 
 NOTHING = b"$-1\r\n"
 MOST_READ = 1 << 16
+PORTS = (12_000, 30_000)
+
+
+def free_port() -> int:
+    """A port of loopback that is nobody's now, and that the system gives to no outgoing connection."""
+    while True:
+        with socket.socket() as sock, suppress(OSError):
+            sock.bind((HOST, randint(*PORTS)))
+            return int(sock.getsockname()[1])
 
 
 class SoakServer:
@@ -37,9 +47,9 @@
         """Listen, at the same ports as before."""
         for node in self.nodes:
             serve = self._serve_for(node)
-            listener = await asyncio.start_server(serve, HOST, self.ports.get(node, 0))
-            self.ports[node] = listener.sockets[0].getsockname()[1]
-            self.listeners.append(listener)
+            if node not in self.ports:
+                self.ports[node] = free_port()
+            self.listeners.append(await asyncio.start_server(serve, HOST, self.ports[node]))
 
     async def down(self) -> None:
         """Its process has died: connections are reset, new ones refused."""
--- a/merlintally/lab/soak/run.py
+++ b/merlintally/lab/soak/run.py
@@ -5,7 +5,6 @@
 import asyncio
 import shutil
 import signal
-import socket
 import tempfile
 import time
 from collections import Counter
@@ -17,7 +16,7 @@
 from typing import Any
 
 from merlintally.lab.live.emulator import HOST
-from merlintally.lab.soak.backends import SoakCounter, SoakDiscovery, SoakServer
+from merlintally.lab.soak.backends import SoakCounter, SoakDiscovery, SoakServer, free_port
 from merlintally.lab.soak.clients import CAPPED, SoakClients, customer_key
 from merlintally.lab.soak.nodes import SoakNode
 from merlintally.lab.soak.oracle import Breach, check
@@ -28,7 +27,6 @@
 TROUBLES_AT_ONCE = 3
 SETTLE_S = DEADLINE_S + 1.5  # behind the last request
 VISITS_PER_NODE_S = 6.0
-NODE_PORTS = (12_000, 30_000)
 Trouble = Callable[[], Awaitable[None]]
 
 
@@ -44,14 +42,6 @@
     driver_lag_s: float = 0.0
 
 
-def free_port(chance: Random) -> int:
-    """A port of loopback that is nobody's now, and that the system gives to no outgoing connection."""
-    while True:
-        with socket.socket() as sock, suppress(OSError):
-            sock.bind((HOST, chance.randint(*NODE_PORTS)))
-            return int(sock.getsockname()[1])
-
-
 class Soak:
     """One seed. `play` gives the verdict; every process and port that was opened is closed behind it."""
 
@@ -59,7 +49,7 @@
         self.seed, self.seconds, self.chance = seed, seconds, Random(seed)
         self.records, self.troubles = Records(), Counter[str]()
         names = [f"n{number}" for number in range(nodes)]
-        self.nodes = [SoakNode(name, free_port(Random()), folder, self.records) for name in names]
+        self.nodes = [SoakNode(name, free_port(), folder, self.records) for name in names]
         servers = max(4, nodes // 2)
         self.servers = [SoakServer(f"s{at}", self.records, self.chance, names) for at in range(servers)]
         self.discovery, self.counter = SoakDiscovery(self.servers, self.records), SoakCounter()
