Red: waits, ends and closes of sockets that fail

Found on reading: anyio.wait_readable and socket.close hand errors of epoll_ctl and close on; the first loses the request, the second ends the node's group of tasks. Forced with ENOMEM, ENOSPC and EIO; the test fails.

--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -646,3 +646,59 @@
         with pytest.raises(OSError):
             Disk(tmp_path)
     assert Disk(tmp_path).blank
+
+
+# Calls on sockets that are waited for, ended or closed.
+
+
+def test_waiting_ending_and_closing_that_fail_end_one_connection_and_no_node(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """epoll_ctl may want memory, shutdown find no connection, and close tell of an error that came late."""
+    standin = server()
+    wait, failures = anyio.wait_readable, [errno.ENOMEM, errno.ENOSPC]
+
+    async def failing_wait(sock: Any) -> None:
+        if failures and len(ports_of(sock)) == 2 and sock.getsockname()[1] == port[0]:
+            raise OSError(failures.pop(), "for a moment")
+        await wait(sock)
+
+    def failing(name: str) -> Call:
+        call = getattr(socket.socket, name)
+
+        def made(sock: socket.socket, *args: Any) -> None:
+            ports = ports_of(sock)
+            call(sock, *args)
+            if ports & {port[0], standin.address[1]}:
+                raise OSError(errno.EIO, "for a moment")
+
+        return made
+
+    port = [0]
+
+    async def act(scene: Scene) -> None:
+        port[0] = scene.node.address[1]
+        with monkeypatch.context() as patched:
+            patched.setattr(anyio, "wait_readable", failing_wait)
+            with await scene.connect() as sock:
+                sock.sendall(said())
+                assert await scene.hear(sock, until=1) == HI
+        for name in ("close", "shutdown"):
+            with monkeypatch.context() as patched:
+                patched.setattr(socket.socket, name, failing(name))
+                heard = await scene.ask(said(), array(b"QUIT"), until=2)
+                assert heard == HI + b"+OK\r\n"
+                await anyio.sleep(0.1)
+        await still_serves(scene)
+        assert not failures
+
+    play(told(known=known(standin), bounds=Bounds(linger_s=0.05)), act, standin)
+
+
+def ports_of(sock: socket.socket) -> set[int]:
+    """The ports of both ends, as far as they are known."""
+    found = set[int]()
+    for ask in (sock.getsockname, sock.getpeername):
+        with suppress(OSError):
+            found.add(ask()[1])
+    return found
