A request that a fault keeps from being handled is answered, and those behind it, too

Cause: Client.run answered only what was pending; a command taken out of the buffer before the fault, and whole ones behind it, were closed over. Change: a fault in making a request is an error answer; one elsewhere refuses what was read before the end. What a client left behind while it waited in the queue is not taken up.

--- a/merlintally/net/clients.py
+++ b/merlintally/net/clients.py
@@ -112,18 +112,26 @@
         """Guards against a fault in handling one connection: it ends that one, and no other, and not before
         what was taken of it is answered."""
         try:
-            await self._or_tell(self._serve)
-            if not self.ended and self.pending:  # a fault has ended its handling
-                self._close_for(CloseReason.FAILED)
-                await self._or_tell(self._linger)
+            if not await self._or_tell(self._serve) and not self.ended:
+                await self._or_tell(self._end_after_fault)
         finally:
             await self._gone()
 
-    async def _or_tell(self, handling: Callable[[], Awaitable[None]]) -> None:
+    async def _or_tell(self, handling: Callable[[], Awaitable[None]]) -> bool:
+        """Whether it went well."""
         try:
             await handling()
+            return True
         except Exception:
-            self.clients.log.say(f"client {self.who}: {traceback.format_exc()}", "client.failed")
+            self._tell_fault()
+            return False
+
+    def _tell_fault(self) -> None:
+        self.clients.log.say(f"client {self.who}: {traceback.format_exc()}", "client.failed")
+
+    async def _end_after_fault(self) -> None:
+        self.close_after_answers(CloseReason.FAILED)
+        await self._linger()
 
     async def _serve(self) -> None:
         while not self.closing:
@@ -186,7 +194,7 @@
         name, clients = raw[words[0][0] : words[0][1]].upper(), self.clients
         if name in COMMANDS:
             try:
-                request = Request(self, raw, words, clients.facts, came_at)
+                request = self._request_of(raw, words, came_at)
             except Malformed as wrong:
                 self.pending.append(PendingAnswer([b"-ERR %b\r\n" % plain(wrong)]))
                 self.pass_on()
@@ -210,6 +218,17 @@
         else:
             await self._fault()
 
+    def _request_of(self, raw: bytes, words: list[Span], came_at: float) -> Request:
+        """The request; Malformed where it is none, or can't be made of it by a fault of this program: it was
+        read, and has to be answered."""
+        try:
+            return Request(self, raw, words, self.clients.facts, came_at)
+        except Malformed:
+            raise
+        except Exception:
+            self._tell_fault()
+            raise Malformed("this request can't be handled") from None
+
     async def _fault(self) -> None:
         """Guards against one that sends the same again as soon as it is turned away, and takes the CPU that
         others need: it is answered at once, and read again a little later; after some faults it is closed."""
--- a/merlintally/net/dispatcher.py
+++ b/merlintally/net/dispatcher.py
@@ -110,6 +110,8 @@
     # What comes through the queue.
 
     def take(self, request: Request) -> None:
+        if request.gone:  # its client left while it waited for its turn
+            return
         may = not self.leaving and (self.right is None or self.right.may_take())
         if not may or len(self.open_requests) >= self.most_open:
             self._pass_on(request, BUSY, TAKES_NOTHING if not may else OPEN_MOST)
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -55,6 +55,7 @@
 from merlintally.net.discovery import Discovery
 from merlintally.net.dispatcher import Dispatcher
 from merlintally.net.log import Log
+from merlintally.net.requests import Request
 from merlintally.net.resp import array
 from merlintally.net.sockets import tcp_socket
 from merlintally.net.timers import Clock
@@ -705,3 +706,25 @@
         except OSError:
             found.append(0)
     return found[0], found[1]
+
+
+def test_a_request_that_can_not_be_handled_is_answered_and_so_are_those_behind_it(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    make, left = Request.__init__, [0]
+
+    def failing_second(*args: Any) -> None:
+        left[0] += 1
+        if left[0] == 2:
+            raise RuntimeError("a fault in reading a request")
+        make(*args)
+
+    async def act(scene: Scene) -> None:
+        monkeypatch.setattr(Request, "__init__", failing_second)
+        with await scene.connect() as sock:
+            sock.sendall(said() + said() + said())
+            heard = await scene.hear(sock, until=3)
+            assert heard.count(HI) == 2 and b"-ERR" in heard
+
+    standin = server()
+    play(told(known=known(standin)), act, standin)
