--- a/merlintally/lab/live/processes.py
+++ b/merlintally/lab/live/processes.py
@@ -9,11 +9,11 @@
 import subprocess
 import sys
 from collections.abc import Callable, Iterator
-from contextlib import suppress
 from pathlib import Path
 from typing import Any, Protocol
 
 from merlintally.lab.live.emulator import HOST, Emulator
+from merlintally.lab.live.ready import answers_ping
 from merlintally.lab.live.standins import CounterPort, DiscoveryAgent
 from merlintally.lab.model.requests import Try
 from merlintally.lab.model.settings import settings_of
@@ -125,17 +125,7 @@
 
     async def ready(self) -> bool:
         """Whether it answers PING in time."""
-        ends = asyncio.get_running_loop().time() + READY_S
-        while asyncio.get_running_loop().time() < ends:
-            with suppress(OSError, TimeoutError):
-                reader, writer = await asyncio.wait_for(asyncio.open_connection(HOST, self.port), 1.0)
-                writer.write(array(b"PING"))
-                answer = await asyncio.wait_for(reader.readline(), 1.0)
-                writer.close()
-                if answer == b"+PONG\r\n":
-                    return True
-            await asyncio.sleep(0.02)
-        return False
+        return await answers_ping(self.port, READY_S)
 
     def kill(self) -> None:
         """SIGKILL: its connections are reset, and what it had taken is nobody's fault."""
--- a/merlintally/lab/soak/nodes.py
+++ b/merlintally/lab/soak/nodes.py
@@ -10,14 +10,12 @@
 import subprocess
 import sys
 import time
-from contextlib import suppress
 from pathlib import Path
 from typing import Any
 
-from merlintally.lab.live.emulator import HOST
+from merlintally.lab.live.ready import answers_ping
 from merlintally.lab.soak.records import Records
 from merlintally.lab.soak.settings import DEADLINE_S
-from merlintally.net.resp import array
 
 FAULT = re.compile(r"Traceback|invariant broken|a call failed|a task begins again|overdue")
 KILL_AFTER_S = DEADLINE_S + 0.7  # SIGKILL comes that long after SIGTERM
@@ -56,23 +54,10 @@
         words = [sys.executable, "-m", "merlintally.lab.soak.node_process", str(self.plan), str(self.lives)]
         self.told_to_leave_at = self.killed_at = float("inf")
         self.process = subprocess.Popen(words, env=environment, stderr=self.log)
-        if not await self._answers():
+        if not await answers_ping(self.port, READY_S):
             self.records.node_faults.append(f"{self.name} was not ready in {READY_S} s")
         self.serving = True
 
-    async def _answers(self) -> bool:
-        ends = time.monotonic() + READY_S
-        while time.monotonic() < ends:
-            with suppress(OSError, TimeoutError):
-                reader, writer = await asyncio.wait_for(asyncio.open_connection(HOST, self.port), 1.0)
-                writer.write(array(b"PING"))
-                answer = await asyncio.wait_for(reader.readline(), 1.0)
-                writer.close()
-                if answer == b"+PONG\r\n":
-                    return True
-            await asyncio.sleep(0.03)
-        return False
-
     def signal(self, number: signal.Signals) -> None:
         """Send a signal, if it still runs."""
         if self.process is not None and self.process.poll() is None:
