Red: a small server in slow start gets the budget of a large one

Forced: one of a quarter of the others' size gets as many requests as one of theirs; the test fails.

--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -728,3 +728,16 @@
 
     standin = server()
     play(told(known=known(standin)), act, standin)
+
+
+def test_a_small_server_in_slow_start_gets_a_part_by_its_size() -> None:
+    """What a server answers on the mean is no measure of one that is listed as a quarter of the others."""
+    large = [replace(SERVER, server=f"s{number}", size=4.0) for number in range(1, 8)]
+    budgets = []
+    for size in (4.0, 1.0):
+        at = gateway(gateways=1)
+        at.roster(100.0, [*large, replace(COLD, size=size)], complete=True)
+        at.good.add(100.0, 8 * 200.0 * 10)
+        budgets.append(spend(at, 100.5))
+    of_large, of_small = budgets
+    assert of_large > 20 and of_small <= 0.31 * of_large
