Slow start: a server that is listed as smaller gets less

Cause: SlowStart divided what all servers answer by their number, and machines of several sizes are listed with their sizes (weights nominal or rough in the settings). Change: a part goes by the server's stated size over the mean of the list, never above one.

--- a/merlintally/choice.py
+++ b/merlintally/choice.py
@@ -191,7 +191,8 @@
 
 class AppServer:
     def __init__(self, facts: ServerFacts, first: float) -> None:
-        self.name, self.zone, self.cell, self.first_places = facts.server, facts.zone, facts.cell, first
+        self.name, self.zone, self.cell, self.size = facts.server, facts.zone, facts.cell, facts.size
+        self.first_places = first
         self.out: dict[tuple[int, int], tuple[float, Lane, float]] = {}
         self.renew(facts)
 
@@ -427,11 +428,11 @@
             one = self.servers.setdefault(entry.server, AppServer(entry, FIRST_PLACES / self.sharing))
             if entry.started > one.started:
                 one.renew(entry)
-            one.presence, one.zone, one.cell = entry.presence, entry.zone, entry.cell
+            one.presence, one.zone, one.cell, one.size = entry.presence, entry.zone, entry.cell, entry.size
             self.worth_at = -1.0
         # Guards against machines replaced for months, which would count as ones without places.
         self.servers = {name: one for name, one in self.servers.items() if one.presence != "gone" or one.out}
-        self.slow_start.listed(now, len(self.servers))
+        self.slow_start.listed(now, [one.size for one in self.servers.values()])
         self.pull(now)
 
     def counted(self, now: float, name: int, outcome: CounterOutcome, total: float, elapsed: float) -> None:
@@ -698,7 +699,7 @@
         return "ceiling" if not handle.count and handle.customer.short_of_ceiling(handle.units) else None
 
     def _cold_room(self, now: float, server: AppServer) -> bool:
-        return self.slow_start.room(now, server.name, server.started, self.good.rate(now))
+        return self.slow_start.room(now, server, self.good.rate(now))
 
     def _send(self, now: float, handle: Submission, server: AppServer) -> None:
         number, customer = handle.count, handle.customer
--- a/merlintally/slow_start.py
+++ b/merlintally/slow_start.py
@@ -8,8 +8,10 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Sequence
 from dataclasses import dataclass
 from random import Random
+from typing import Protocol
 
 from merlintally.interface import StartFacts
 
@@ -27,30 +29,41 @@
     sent: int = 0
 
 
+class ColdServer(Protocol):
+    """A server, as far as this module looks at it."""
+
+    name: str
+    started: float  # seconds; 0: long ago
+    size: float  # as stated, beside those of others; 0: unknown
+
+
 class SlowStart:
     """The budgets of all cold servers, by name and start: one that leaves the list and returns keeps its."""
 
     def __init__(self, facts: StartFacts, chance: Random) -> None:
         self._facts, self._chance = facts, chance
         self._slots: dict[tuple[str, float], Slot] = {}
-        self._sizes: deque[tuple[float, int]] = deque()  # of the list: since when, and how many
+        self._lengths: deque[tuple[float, int]] = deque()  # of the list: since when, and how long
+        self._mean_size = 1.0
 
     def is_cold(self, now: float, started: float) -> bool:
         """Whether a server that started at `started` (0: long ago) has still to warm up."""
         return started > 0 and now - started < self._facts.warm_within
 
-    def listed(self, now: float, size: int) -> None:
-        """The list holds `size` servers from now on."""
-        self._sizes.append((now, size))
-        while len(self._sizes) > 1 and self._sizes[1][0] < now - MEASURED_S:
-            self._sizes.popleft()
+    def listed(self, now: float, sizes: Sequence[float]) -> None:
+        """The list holds servers of these stated sizes from now on."""
+        stated = [size for size in sizes if size > 0]
+        self._mean_size = sum(stated) / len(stated) if stated else 1.0
+        self._lengths.append((now, len(sizes)))
+        while len(self._lengths) > 1 and self._lengths[1][0] < now - MEASURED_S:
+            self._lengths.popleft()
         self._slots = {key: slot for key, slot in self._slots.items() if self.is_cold(now, key[1])}
 
-    def room(self, now: float, name: str, started: float, answers_per_s: float) -> bool:
+    def room(self, now: float, server: ColdServer, answers_per_s: float) -> bool:
         """Whether a send is allowed; `answers_per_s` is what all servers together answer here."""
-        if not self.is_cold(now, started):
+        if not self.is_cold(now, server.started):
             return True
-        slot = self._slot(now, name, started, answers_per_s)
+        slot = self._slot(now, server, answers_per_s)
         return slot.sent < slot.most
 
     def sent(self, name: str, started: float) -> None:
@@ -58,25 +71,30 @@
         if (slot := self._slots.get((name, started))) is not None:
             slot.sent += 1
 
-    def _slot(self, now: float, name: str, started: float, answers_per_s: float) -> Slot:
+    def _slot(self, now: float, server: ColdServer, answers_per_s: float) -> Slot:
         """The present slot. A part below one request is the chance of one, drawn once for each slot."""
-        facts, age = self._facts, max(0.0, now - started)
+        facts, age, key = self._facts, max(0.0, now - server.started), (server.name, server.started)
         length = facts.tip_window / SLOTS
-        number, slot = int(age / length), self._slots.get((name, started))
+        number, slot = int(age / length), self._slots.get(key)
         if slot is None or slot.number != number:
             share = facts.cold_share + (1 - facts.cold_share) * age / facts.warm_within
             part = answers_per_s / self._widest(now) * length
-            budget = facts.tip_multiple * share * SAFETY * max(part, 1 / facts.gateways / SLOTS)
+            part = max(part, 1 / facts.gateways / SLOTS) * self._relative_size(server)
+            budget = facts.tip_multiple * share * SAFETY * part
             most = int(budget) + (self._chance.random() < budget % 1)
-            slot = self._slots[name, started] = Slot(number, most)
+            slot = self._slots[key] = Slot(number, most)
         return slot
 
+    def _relative_size(self, server: ColdServer) -> float:
+        """How much of the mean server's work it can do, by the stated sizes; never more than that."""
+        return min(1.0, server.size / self._mean_size) if server.size > 0 else 1.0
+
     def _widest(self, now: float) -> int:
         """The longest list in the time over which answers are counted. Guards against what many servers
         answered taken for the work of the few that are left, where a list shrinks at once."""
-        sizes = [
-            size
-            for at, (_, size) in enumerate(self._sizes)
-            if at + 1 == len(self._sizes) or self._sizes[at + 1][0] > now - MEASURED_S
+        lengths = [
+            length
+            for at, (_, length) in enumerate(self._lengths)
+            if at + 1 == len(self._lengths) or self._lengths[at + 1][0] > now - MEASURED_S
         ]
-        return max(1, *sizes) if sizes else 1
+        return max([1, *lengths])
