A process held up between two clocks sees no step

Found on reading: held up for 0.14 s between time.time and time.monotonic, a node logged a step of the wall clock and another one back. Change: such a look is passed over. Result: tests of the clock and of steps pass.

--- a/merlintally/net/timers.py
+++ b/merlintally/net/timers.py
@@ -12,6 +12,8 @@
 from merlintally.net.log import Log
 from merlintally.net.start_times import WallSteps
 
+LOOK_S = 0.005  # between two clocks that are read at once
+
 
 class Clock:
     """Unix time as it was when the clock was made, and real seconds since. Guards against deadlines, windows
@@ -26,8 +28,10 @@
         return time.monotonic() + self.offset
 
     def look_at_wall(self) -> float:
-        """Whether the wall clock was stepped since the last look: by how many seconds, 0 for not at all."""
-        return self.wall.look(time.time(), self.now())
+        """Whether the wall clock was stepped since the last look: by how many seconds, 0 for not at all. A
+        look in which the process was held up tells nothing."""
+        before, wall, after = self.now(), time.time(), self.now()
+        return self.wall.look(wall, after) if after - before < LOOK_S else 0.0
 
 
 class Timers:
