Red: a command comes whole long after the time it tells

Found on reading Link._flush: the time told to an app server is that of the first byte, and a long request may wait half-written. Forced: a server that reads nothing for 0.4 s gets the command whole with 0.9 s told and 0.5 s left; the test fails.

--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -42,6 +42,7 @@
     take,
     told,
     until,
+    whole,
 )
 
 from merlintally.choice import Gateway, Submission
@@ -741,3 +742,36 @@
         budgets.append(spend(at, 100.5))
     of_large, of_small = budgets
     assert of_large > 20 and of_small <= 0.31 * of_large
+
+
+def test_no_server_gets_a_command_whole_whose_told_time_has_gone_by(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A long request waited half-written for a server that read nothing, and told it of time long past."""
+    monkeypatch.setattr(servers, "tcp_socket", lambda: small_buffers(tcp_socket()))
+    listener = small_buffers(socket.create_server(("127.0.0.1", 0)))
+    whole_at = list[float]()
+
+    class LateReader(Standin):
+        async def _speak(self, sock: socket.socket) -> None:
+            with sock, suppress(OSError):
+                await anyio.sleep(0.4)
+                sock.setblocking(True)
+                sock.settimeout(0.3)
+                heard = b""
+                while got := await anyio.to_thread.run_sync(sock.recv, 1 << 16):
+                    heard += got
+                    if whole(heard):
+                        whole_at.append(time.monotonic())
+                        sock.sendall(OK)
+
+    standin = LateReader(lambda heard: OK)
+    standin.sock.close()
+    standin.sock, standin.address = listener, listener.getsockname()
+    listener.setblocking(False)
+    terms = b"c=pay,t=plan,d=900,units=1,spread=1,first=0"
+
+    async def act(scene: Scene) -> None:
+        began = time.monotonic()
+        assert await scene.ask(said(b"Q.DO", terms, body=LONG))
+        assert all(at - began < 0.15 for at in whole_at)
+
+    play(told(known=known(standin)), act, standin)
