The rest of a half-written command goes out within 0.1 s, or not at all

Cause: Link._flush wrote the rest whenever the server took it; the time it tells is that of the first byte. Change: SendGuard.allows_rest ends such an attempt, which never ran. The soak's oracle holds the time told against the last byte, and the records of its tests tell the time left then.

--- a/merlintally/lab/soak/oracle.py
+++ b/merlintally/lab/soak/oracle.py
@@ -119,7 +119,7 @@
         if request is None:
             yield Breach("a command as the client sent it", f"{attempt.id} at {attempt.server}")
             continue
-        over_s = attempt.wait_told_s - (request.deadline - attempt.first_byte_at)
+        over_s = attempt.wait_told_s - (request.deadline - attempt.whole_at)
         if over_s > WAIT_SLACK_S + SEEN_S + records.driver_lag_s:
             yield Breach("the time told", f"{attempt.id} at {attempt.server}: {over_s:.3f} s too much")
 
--- a/merlintally/net/send_guard.py
+++ b/merlintally/net/send_guard.py
@@ -13,6 +13,8 @@
 from merlintally.net.requests import Attempt
 from merlintally.net.timers import Clock
 
+REST_S = 0.1  # from the first byte of an attempt to its last: the time that it tells is that of the first
+
 
 class Refusal(StrEnum):
     """Why an attempt is not written."""
@@ -23,6 +25,7 @@
     SERVER_LEAVES = "its app server drains or is gone"
     TOO_LATE = "its time is over, or as a repeat it is no longer remembered"
     SECOND_COPY = "another attempt of a request that may run once is out"
+    WAIT_PASSED = "half-written, it tells its app server of time that has gone by"
 
 
 class SendGuard:
@@ -33,9 +36,17 @@
         self.refused: Counter[Refusal] = Counter()
 
     def allows(self, attempt: Attempt, presence: Presence) -> bool:
-        """Whether the attempt may be written to its app server, which is listed as `presence`. Once it was
-        begun, pass "on": it is no new one then, whatever the list says since."""
-        refusal = self._refusal(attempt, presence)
+        """Whether the attempt may be written to its app server, which is listed as `presence`."""
+        return self._note(attempt, self._refusal(attempt, presence))
+
+    def allows_rest(self, attempt: Attempt, begun_at: float) -> bool:
+        """Whether the rest of one may be written of which the first bytes were at `begun_at`. It is no new
+        one, whatever the list says since."""
+        stale = self._clock.now() - begun_at > REST_S
+        return self._note(attempt, Refusal.WAIT_PASSED if stale else self._refusal(attempt, "on"))
+
+    def _note(self, attempt: Attempt, refusal: Refusal | None) -> bool:
+        """Whether there is no refusal; one is counted."""
         if refusal is None:
             return True
         attempt.refusal = refusal
--- a/merlintally/net/servers.py
+++ b/merlintally/net/servers.py
@@ -160,10 +160,11 @@
             self.fleet.group.start_soon(self._flush, attempt)
 
     async def _flush(self, attempt: Attempt) -> None:
-        """Write the rest. Guards against a last byte that goes out for nobody, or once a repeat is no longer
-        remembered: an app server begins a request with it."""
+        """Write the rest. Guards against a last byte that goes out for nobody, once a repeat is no longer
+        remembered, or long after the time that the command tells: an app server begins a request with it."""
+        begun_at, guard = self.fleet.clock.now(), self.fleet.guard
         try:
-            await self.stream.flush(lambda: self.fleet.guard.allows(attempt, "on"))
+            await self.stream.flush(lambda: guard.allows_rest(attempt, begun_at))
             attempt.written = not self.stream.unsent
         except OSError:
             pass
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -27,7 +27,7 @@
 
 def test_what_is_kept_is_no_breach() -> None:
     assert not promises(ATTEMPT)
-    assert not promises(ATTEMPT, replace(ATTEMPT, whole_at=10.5))
+    assert not promises(ATTEMPT, replace(ATTEMPT, whole_at=10.5, wait_told_s=0.5))
     assert not promises(ATTEMPT, request=LEFT)
 
 
@@ -52,7 +52,7 @@
 
 
 def test_an_effect_twice() -> None:
-    again = replace(ATTEMPT, whole_at=10.06 + WINDOW_S + 0.1)
+    again = replace(ATTEMPT, whole_at=10.06 + WINDOW_S + 0.1, wait_told_s=0.01)
     assert promises(ATTEMPT, again, request=replace(REQUEST, effect="by_key")) == {"no effect twice"}
     assert promises(ATTEMPT, ATTEMPT, request=replace(REQUEST, effect="once")) == {"no effect twice"}
     never_ran = replace(ATTEMPT, ran=False)
