--- a/merlintally/cli/soak.py
+++ b/merlintally/cli/soak.py
@@ -28,6 +28,24 @@
     }
 
 
+def folder_row(seed: int, seconds: float, keep: Path | None) -> dict[str, Any]:
+    """The same of a cluster with folders."""
+    from merlintally.lab.soak.folders import run_folder_soak
+
+    found = run_folder_soak(seed, seconds, keep)
+    breaches = [{"promise": one["promise"], "detail": " / ".join(one["lines"])} for one in found["broken"]]
+    breaches += [{"promise": "what was begun is finished", "detail": one} for one in found["unfinished"]]
+    submissions = found["submissions"]
+    return {
+        "seed": seed,
+        "breaches": breaches,
+        "endings": {key: submissions[key] for key in ("taken", "answered", "twice")},
+        "troubles": found["faults"],
+        "attempts": submissions["answered"],
+        "driver_lag_s": 0.0,
+    }
+
+
 def lines_of(rows: list[dict[str, Any]]) -> Iterator[str]:
     """What a person reads."""
     for row in rows:
@@ -47,15 +65,21 @@
 @click.option(
     "--for", "seconds", type=click.FloatRange(1, 600), default=10.0, show_default=True, help="Each, seconds."
 )
+@click.option("--folders", is_flag=True, help="A cluster with folders whose disks fail, in place of that.")
 @click.option("--keep", type=click.Path(file_okay=False, path_type=Path), help="Keep logs in this folder.")
 @click.option("--json", "as_json", is_flag=True, help="Print for machines.")
-def soak(seed: int, seeds: int, nodes: int, seconds: float, keep: Path | None, as_json: bool) -> int:
+def soak(
+    seed: int, seeds: int, nodes: int, seconds: float, folders: bool, keep: Path | None, as_json: bool
+) -> int:
     """Play node processes under random faults that overlap; exit code 3 where a promise was broken."""
     from merlintally.lab.soak import run_soak
 
     rows = []
     for number in range(seed, seed + seeds):
         folder = keep / str(number) if keep is not None else None
-        rows.append(row_of(run_soak(number, nodes, seconds, folder)))
+        if folders:
+            rows.append(folder_row(number, seconds, folder))
+        else:
+            rows.append(row_of(run_soak(number, nodes, seconds, folder)))
     told(rows, as_json, lines_of(rows))
     return BROKEN if any(row["breaches"] for row in rows) else 0
--- a/merlintally/lab/soak/backends.py
+++ b/merlintally/lab/soak/backends.py
@@ -36,7 +36,9 @@
 
     def __init__(self, name: str, records: Records, chance: Random, nodes: list[str]) -> None:
         self.name, self.records, self.chance, self.nodes = name, records, chance, nodes
-        self.ports: dict[str, int] = {}
+        self.ports: dict[str, int] = {}  # by node, where it listens
+        self.doors: dict[str, int] = {}  # by node, the port of the proxy on the way there
+        self.late_until: dict[str, float] = {}  # by node, until when what comes may have been held on its way
         self.listeners: list[asyncio.Server] = []
         self.writers: set[asyncio.StreamWriter] = set()
         self.status, self.started_wall_s = "SERVING", 0.0
@@ -103,7 +105,14 @@
         """Take one attempt; whether the connection goes on."""
         terms = dict(part.split("=", 1) for part in words[3].decode().split(","))
         attempt = SeenAttempt(
-            words[2].decode(), node, self.name, first_byte_at, time.monotonic(), int(terms["d"]) / 1000, True
+            words[2].decode(),
+            node,
+            self.name,
+            first_byte_at,
+            time.monotonic(),
+            int(terms["d"]) / 1000,
+            ran=True,
+            on_time=first_byte_at > self.late_until.get(node, 0.0),
         )
         self.records.attempts.append(attempt)
         fate = self.chance.random() / self.trouble if self.trouble else 1.0
@@ -194,7 +203,7 @@
             shown.append(
                 {
                     "name": name,
-                    "address": f"{HOST}:{by_name[name].ports[node]}",
+                    "address": f"{HOST}:{by_name[name].doors[node]}",
                     "zone": "z0",
                     "type": "m",
                     "group": 0,
--- a/merlintally/lab/soak/records.py
+++ b/merlintally/lab/soak/records.py
@@ -44,6 +44,7 @@
     whole_at: float
     wait_told_s: float
     ran: bool  # False: it was turned away, and surely never ran
+    on_time: bool = True  # False: its way was in trouble, and it may have been written long before
 
 
 @dataclass(slots=True)
--- a/merlintally/lab/soak/run.py
+++ b/merlintally/lab/soak/run.py
@@ -15,6 +15,7 @@
 from random import Random
 from typing import Any
 
+from merlintally.lab.faults.links import Net, state_of
 from merlintally.lab.live.emulator import HOST
 from merlintally.lab.soak.backends import SoakCounter, SoakDiscovery, SoakServer, free_port
 from merlintally.lab.soak.clients import CAPPED, SoakClients, customer_key
@@ -27,6 +28,9 @@
 TROUBLES_AT_ONCE = 3
 SETTLE_S = DEADLINE_S + 1.5  # behind the last request
 VISITS_PER_NODE_S = 6.0
+LINKS = ("cut", "slow", "jittered", "narrow", "mute", "refused", "reset")
+LINK_SIZES = {"slow": 0.2, "jittered": 0.3, "narrow": 20_000.0}  # seconds, or bytes a second
+HELD_S = 4.0  # for which a way that is whole again may still carry what was held on it
 Trouble = Callable[[], Awaitable[None]]
 
 
@@ -54,6 +58,7 @@
         self.servers = [SoakServer(f"s{at}", self.records, self.chance, names) for at in range(servers)]
         self.discovery, self.counter = SoakDiscovery(self.servers, self.records), SoakCounter()
         self.clients = SoakClients(self.nodes, self.records, self.chance)
+        self.net = Net(seed)  # the proxy on the ways from nodes to app servers
         self.steps: list[Window] = []  # of the wall clock
         self.nodes_alone = seed % 2 == 1  # their wall clock is stepped, and nobody else's
 
@@ -82,6 +87,12 @@
     async def _open(self) -> None:
         for server in self.servers:
             await server.up()
+            for (
+                name,
+                port,
+            ) in server.ports.items():  # half of the ways are direct: the proxy hides some resets
+                through = self.chance.random() < 0.5
+                server.doors[name] = await self.net.door(name, server.name, port) if through else port
         await self.counter.open()
         begins = time.monotonic() + 1.0
         self._plan_steps(begins)
@@ -137,6 +148,7 @@
             "drain": self._drain,
             "crash": self._crash,
             "hang": self._hang,
+            "link": self._link_trouble,
             "counter": self._counter_trouble,
         }
         while time.monotonic() < ends:
@@ -239,6 +251,19 @@
             await asyncio.sleep(self.chance.uniform(0.3, 2.5))
             server.hangs = False
 
+    async def _link_trouble(self) -> None:
+        """The way from some nodes to a server is cut, slow, narrow, mute, refused, or resets what stands."""
+        server, kind = self.chance.choice(self.servers), self.chance.choice(LINKS)
+        nodes = self.chance.sample(self.nodes, self.chance.randint(1, len(self.nodes)))
+        state = state_of(kind, LINK_SIZES.get(kind, 0.0))
+        for node in nodes:
+            server.late_until[node.name] = float("inf")
+            await self.net.change(node.name, server.name, state, resets=kind == "reset")
+        await asyncio.sleep(self.chance.uniform(0.2, 2.0))
+        for node in nodes:
+            await self.net.change(node.name, server.name, None)
+            server.late_until[node.name] = time.monotonic() + HELD_S
+
     async def _counter_trouble(self) -> None:
         self.counter.down, self.counter.slow_s = self.chance.random() < 0.5, self.chance.uniform(0.0, 0.2)
         await asyncio.sleep(self.chance.uniform(0.2, 1.5))
@@ -255,6 +280,7 @@
 
     def _close(self) -> None:
         self.clients.close()
+        self.net.close()
         for node in self.nodes:
             node.end()
         for listeners in (*self.discovery.listeners.values(), *(one.listeners for one in self.servers)):
