Soak: who has given a call up is told nothing; targets are read in one place

The record said told where the node had closed the call before its answer; it would have held drains against nodes that never heard of them.

--- a/merlintally/lab/live/standins.py
+++ b/merlintally/lab/live/standins.py
@@ -40,6 +40,11 @@
     return found
 
 
+def asked_in(target: str) -> dict[str, str]:
+    """The names and values of a request's target."""
+    return dict(part.split("=", 1) for part in target.partition("?")[2].split("&") if "=" in part)
+
+
 def reset(writer: asyncio.StreamWriter) -> None:
     """End a connection by a reset."""
     sock = writer.get_extra_info("socket")
@@ -247,8 +252,7 @@
                 writer.close()
 
     async def _page_for(self, target: str) -> bytes:
-        _, _, query = target.partition("?")
-        asked = dict(part.split("=", 1) for part in query.split("&") if "=" in part)
+        asked = asked_in(target)
         while self.live.world.discovery.silent:
             await asyncio.sleep(0.05)
         if "since" not in asked:
--- a/merlintally/lab/soak/backends.py
+++ b/merlintally/lab/soak/backends.py
@@ -14,7 +14,7 @@
 
 from merlintally.fields import Malformed
 from merlintally.lab.live.emulator import HOST, Serve
-from merlintally.lab.live.standins import reset
+from merlintally.lab.live.standins import asked_in, reset
 from merlintally.lab.soak.records import Records, SeenAttempt, Told
 from merlintally.net.resp import array_at, bulk
 
@@ -222,6 +222,8 @@
                 connection.receive_data(await reader.read(MOST_READ))
             elif isinstance(event, h11.Request):
                 await self._wait(node, event.target.decode())
+                if reader.at_eof() or writer.is_closing():  # the node has given it up: it is told nothing
+                    return
                 body = self.page(node, self._since(event.target.decode()))
                 headers = [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
                 writer.write(connection.send(h11.Response(status_code=200, headers=headers)) or b"")
@@ -232,19 +234,15 @@
             elif isinstance(event, h11.ConnectionClosed):
                 return
 
-    @staticmethod
-    def _asked(target: str) -> dict[str, str]:
-        return dict(part.split("=", 1) for part in target.partition("?")[2].split("&") if "=" in part)
-
     def _since(self, target: str) -> int | None:
-        asked = self._asked(target)
+        asked = asked_in(target)
         return int(asked["since"]) if "since" in asked else None
 
     async def _wait(self, node: str, target: str) -> None:
         """Until there is something to say, or the wait is over; for good where the agent is silent."""
         since = self._since(target)
         if since is not None:
-            ends = time.monotonic() + int(self._asked(target)["timeout_ms"]) / 1000
+            ends = time.monotonic() + int(asked_in(target)["timeout_ms"]) / 1000
             while self.index <= since and (left := ends - time.monotonic()) > 0:
                 with suppress(TimeoutError):
                     await asyncio.wait_for(self.changed.wait(), left)
