Soak: a port is given once, also before anybody listens there

Seed 310 (ten nodes): a server took the port that a node had been given and not bound yet; the node ended with can't serve, as it should.

--- a/merlintally/lab/soak/backends.py
+++ b/merlintally/lab/soak/backends.py
@@ -21,14 +21,18 @@
 NOTHING = b"$-1\r\n"
 MOST_READ = 1 << 16
 PORTS = (12_000, 30_000)
+GIVEN = set[int]()  # to somebody who may not listen yet
 
 
 def free_port() -> int:
     """A port of loopback that is nobody's now, and that the system gives to no outgoing connection."""
     while True:
+        port = randint(*PORTS)
         with socket.socket() as sock, suppress(OSError):
-            sock.bind((HOST, randint(*PORTS)))
-            return int(sock.getsockname()[1])
+            sock.bind((HOST, port))
+            if port not in GIVEN:
+                GIVEN.add(port)
+                return port
 
 
 class SoakServer:
