Both stand-ins of discovery write their page by one piece of code

Read once more: the soak had written the laboratory's four lines of an HTTP answer again. Change: write_page in lab/live/standins.py, called by both; no change of behaviour. Result: ruff and mypy clean; tests of the soak and the imports, and those of the laboratory with real processes, pass (23). The rest of the suite was not run again for it.

--- a/merlintally/lab/live/standins.py
+++ b/merlintally/lab/live/standins.py
@@ -45,6 +45,14 @@
     return dict(part.split("=", 1) for part in target.partition("?")[2].split("&") if "=" in part)
 
 
+def write_page(connection: h11.Connection, writer: asyncio.StreamWriter, body: bytes) -> None:
+    """Answer a request of discovery's with a whole body of JSON."""
+    headers = [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
+    writer.write(connection.send(h11.Response(status_code=200, headers=headers)) or b"")
+    writer.write(connection.send(h11.Data(data=body)) or b"")
+    writer.write(connection.send(h11.EndOfMessage()) or b"")
+
+
 def reset(writer: asyncio.StreamWriter) -> None:
     """End a connection by a reset."""
     sock = writer.get_extra_info("socket")
@@ -237,10 +245,7 @@
                     connection.receive_data(await reader.read(65536))
                 elif isinstance(event, h11.Request):
                     body = await self._page_for(event.target.decode())
-                    headers = [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
-                    writer.write(connection.send(h11.Response(status_code=200, headers=headers)) or b"")
-                    writer.write(connection.send(h11.Data(data=body)) or b"")
-                    writer.write(connection.send(h11.EndOfMessage()) or b"")
+                    write_page(connection, writer, body)
                 elif event is h11.PAUSED:
                     connection.start_next_cycle()
                 elif isinstance(event, h11.ConnectionClosed):
--- a/merlintally/lab/soak/backends.py
+++ b/merlintally/lab/soak/backends.py
@@ -14,7 +14,7 @@
 
 from merlintally.fields import Malformed
 from merlintally.lab.live.emulator import HOST, Serve
-from merlintally.lab.live.standins import asked_in, reset
+from merlintally.lab.live.standins import asked_in, reset, write_page
 from merlintally.lab.soak.records import Records, SeenAttempt, Told
 from merlintally.net.resp import array_at, bulk
 
@@ -229,10 +229,7 @@
                 if reader.at_eof() or writer.is_closing():  # the node has given it up: it is told nothing
                     return
                 body = self.page(node, self._since(event.target.decode()))
-                headers = [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
-                writer.write(connection.send(h11.Response(status_code=200, headers=headers)) or b"")
-                writer.write(connection.send(h11.Data(data=body)) or b"")
-                writer.write(connection.send(h11.EndOfMessage()) or b"")
+                write_page(connection, writer, body)
             elif event is h11.PAUSED:
                 connection.start_next_cycle()
             elif isinstance(event, h11.ConnectionClosed):
