--- a/review/common/stage.py
+++ b/review/common/stage.py
@@ -409,6 +409,7 @@
         self.nodes = [Node(f"n{number}", number, self.record, self.folder) for number in range(nodes)]
         self.agents = [Agent(node.name, self.servers, self.record) for node in self.nodes]
         self.counter, self.classes = CounterPort(), classes
+        self.moved: list[Agent] = []  # agents at addresses of later configurations
         self.memory_mb, self.sockets = memory_mb, sockets
 
     async def open(self) -> None:
@@ -436,7 +437,7 @@
     async def close(self) -> None:
         for node in self.nodes:
             await node.stop()
-        for agent in self.agents:
+        for agent in (*self.agents, *self.moved):
             agent.close()
         await asyncio.sleep(0.1)
         for path in sorted(self.folder.glob("*.log")):
