review: ports of nodes lie below those of outgoing connections

Cause: a restarted node could find its port taken by an outgoing connection, which would look like a crash.

Change: review/common/stage.py draws ports from 12000 to 30000.

--- a/review/common/stage.py
+++ b/review/common/stage.py
@@ -9,6 +9,7 @@
 import asyncio
 import json
 import os
+import random
 import signal
 import socket
 import sys
@@ -33,12 +34,13 @@
 
 
 def free_port() -> int:
-    """A TCP port of the loopback address that nobody listens at, drawn by the system."""
-    with socket.socket() as probe:
-        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        probe.bind((HOST, 0))
-        port: int = probe.getsockname()[1]
-        return port
+    """A TCP port of the loopback address that nobody has, below those that outgoing connections get."""
+    for _ in range(1000):
+        port = random.randint(12_000, 30_000)
+        with socket.socket() as probe, suppress(OSError):
+            probe.bind((HOST, port))
+            return port
+    raise CannotRun("no port is free")
 
 
 class Record:
