review: attempts begin for clients that have left behind unread commands

Cause: a connection that its client's system has reset is in the TCP state CLOSE, which Stream.peer_ended does not count as ended while bytes are unread; the node takes the next commands out of its buffer and sends them on.

--- a/review/common/stage.py
+++ b/review/common/stage.py
@@ -73,11 +73,8 @@
     return b"*%d\r\n%b" % (len(words), b"".join(bulk(word) for word in words))
 
 
-async def read_command(reader: asyncio.StreamReader) -> list[bytes]:
-    """An array of bulk strings; empty at the connection's end."""
-    head = await reader.readline()
-    if not head.startswith(b"*"):
-        return []
+async def read_words(head: bytes, reader: asyncio.StreamReader) -> list[bytes]:
+    """The words of an array of bulk strings whose first line is `head`."""
     words = []
     for _ in range(int(head[1:])):
         size = int((await reader.readline())[1:])
@@ -101,7 +98,7 @@
     def __init__(self, name: str, record: Record, work_s: float = 0.03) -> None:
         self.name, self.record, self.work_s = name, record, work_s
         self.port, self.status, self.since_ms, self.group = 0, "SERVING", 0, 0
-        self.commands: list[tuple[float, str]] = []  # when the last byte had come, and the id
+        self.commands: list[tuple[float, str]] = []  # when the first line had come, and the id
         self.listener: asyncio.Server | None = None
 
     async def open(self) -> None:
@@ -110,13 +107,15 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         with suppress(OSError, ValueError, asyncio.IncompleteReadError):
-            while words := await read_command(reader):
+            while (head := await reader.readline()).startswith(b"*"):
+                begun_at = self.record.now()
+                words = await read_words(head, reader)
                 if words[0] not in (b"Q.ASK", b"Q.DO"):
                     writer.write(b"+OK\r\n" if words[0] in (b"CLIENT", b"SELECT") else b"-ERR\r\n")
                     continue
                 id_ = words[2].decode()
-                self.commands.append((self.record.now(), id_))
-                self.record.say(f"run {id_} at {self.name}")
+                self.commands.append((begun_at, id_))
+                self.record.say(f"run {id_} at {self.name}, first byte at {begun_at:.4f}")
                 await asyncio.sleep(self.work_s)
                 value = b"%b did %b" % (self.name.encode(), words[2])
                 writer.write(b"*3\r\n" + bulk(value) + bulk(b"cost=1") + b"$-1\r\n")
