--- a/review/common/stage.py
+++ b/review/common/stage.py
@@ -116,12 +116,17 @@
                 id_ = words[2].decode()
                 self.commands.append((begun_at, id_))
                 self.record.say(f"run {id_} at {self.name}, first byte at {begun_at:.4f}")
-                await asyncio.sleep(self.work_s)
-                value = b"%b did %b" % (self.name.encode(), words[2])
+                work_s, length = self.terms(words)
+                await asyncio.sleep(work_s)
+                value = (b"%b did %b" % (self.name.encode(), words[2])).ljust(length, b".")
                 writer.write(b"*3\r\n" + bulk(value) + bulk(b"cost=1") + b"$-1\r\n")
         with suppress(OSError, RuntimeError):
             writer.close()
 
+    def terms(self, words: list[bytes]) -> tuple[float, int]:
+        """How long the work on a command takes, and the least length of its value in bytes."""
+        return self.work_s, 0
+
     def entry(self) -> dict[str, Any]:
         return {
             "name": self.name,
