--- a/review/common/stage.py
+++ b/review/common/stage.py
@@ -106,7 +106,7 @@
         self.port = self.listener.sockets[0].getsockname()[1]
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        with suppress(OSError, ValueError, asyncio.IncompleteReadError):
+        with suppress(OSError, ValueError, asyncio.IncompleteReadError, asyncio.CancelledError):
             while (head := await reader.readline()).startswith(b"*"):
                 begun_at = self.record.now()
                 words = await read_words(head, reader)
