--- a/merlintally/net/client_stream.py
+++ b/merlintally/net/client_stream.py
@@ -7,9 +7,12 @@
 from __future__ import annotations
 
 import socket
+from collections.abc import Iterator
 
+from merlintally.fields import Malformed
 from merlintally.net.arrivals import Arrivals
 from merlintally.net.polling import ReadyTimes
+from merlintally.net.resp import array_at
 from merlintally.net.sockets import ResourceLimit, Stream, is_transient
 from merlintally.net.timers import Clock
 
@@ -90,6 +93,27 @@
         self.start = stop
         return earliest
 
+    def complete_commands(self) -> Iterator[int]:
+        """Yield where each complete command ends that was read and not consumed, in order."""
+        position = self.start
+        try:
+            while (command := array_at(self.buffer, position, self.end)) is not None:
+                words, position = command
+                if words:
+                    yield position
+        except Malformed:
+            return  # framing is lost: further commands cannot be recognized
+
+    def awaits_rest(self) -> bool:
+        """Return whether what was read and not consumed is nothing, or the beginning of one command.
+
+        False for a complete command and for malformed input, which are still to be answered.
+        """
+        try:
+            return array_at(self.buffer, self.start, self.end) is None
+        except Malformed:
+            return False
+
     def discard(self) -> None:
         """Discard what was read and not consumed."""
         self.start = self.end = 0
--- a/merlintally/net/clients.py
+++ b/merlintally/net/clients.py
@@ -16,7 +16,7 @@
 from merlintally.net.admission import Admission, AdmissionLimits, Eviction
 from merlintally.net.call_queue import Owner
 from merlintally.net.client_stream import ClientStream
-from merlintally.net.closures import CLOSED_BY_CLIENT, CloseReason, Closures
+from merlintally.net.closures import CLOSED_BY_CLIENT, UNANSWERABLE, CloseReason, Closures
 from merlintally.net.configuration import Deployment
 from merlintally.net.invariants import Invariant, Invariants
 from merlintally.net.log import Log
@@ -85,10 +85,18 @@
         """Address of the client without the port."""
         return self.remote_address.partition(":")[0]
 
+    @property
+    def owes_answer(self) -> bool:
+        """Whether an answer is due, for a complete command in the receive buffer, too.
+
+        The node ends no connection while this holds, unless its client has left or does not read its answers.
+        """
+        return bool(self.pending or self.stream.unsent) or not self.stream.awaits_rest()
+
     @property
     def idle(self) -> bool:
         """Whether no answer is due to commands read so far."""
-        return not self.pending and not self.stream.unsent and not self.ended
+        return not self.ended and not self.owes_answer
 
     @property
     def finished(self) -> bool:
@@ -97,14 +105,12 @@
 
     @property
     def safe_to_close(self) -> bool:
-        """Whether closing loses nothing: no answer is due and no input is unread.
+        """Whether closing loses nothing: no answer is due, no command has begun, and no input is unread.
 
-        A complete request in the receive buffer counts as accepted, and would be lost.
+        A complete request in the socket's receive buffer counts as accepted, and would be lost.
         """
         stream = self.stream
-        return (
-            not self.pending and not stream.unsent and stream.start == stream.end and stream.nothing_to_read()
-        )
+        return not self.owes_answer and stream.start == stream.end and stream.nothing_to_read()
 
     def has_left(self) -> bool:
         """Return whether the client has ended the connection, even if its end has not been read yet."""
@@ -337,15 +343,10 @@
 
     def _reject_unhandled(self) -> Iterator[Buffer]:
         """Yield busy answers for complete commands in the buffer that will not be handled any more."""
-        stream = self.stream
-        try:
-            while (command := array_at(stream.buffer, stream.start, stream.end)) is not None:
-                stream.consume(command[1])
-                if command[0]:
-                    self.clients.rejected_unhandled += 1
-                    yield BUSY_ANSWER
-        except Malformed:
-            return  # framing is lost: further commands cannot be recognized
+        for stop in list(self.stream.complete_commands()):
+            self.stream.consume(stop)
+            self.clients.rejected_unhandled += 1
+            yield BUSY_ANSWER
 
     def _account_unread(self) -> None:
         """Account the memory of answers that are not written yet as held."""
@@ -532,8 +533,9 @@
             if stream.unsent or (client.closing and not client.pending):
                 if stalled_s > bounds.client_stall_s:
                     client.end(CloseReason.STALLED)
-            elif not client.pending and receiving and now > client.command_deadline:
-                if stream.nothing_to_read():  # otherwise unread input may complete the command
+            elif receiving and now > client.command_deadline:
+                # A complete command is answered by the client's task; unread input may complete another.
+                if not client.owes_answer and stream.nothing_to_read():
                     self.closures.add(CloseReason.NO_REQUEST, client.remote_host)
                     client.end(CloseReason.NO_REQUEST)
             elif stalled_s > bounds.client_idle_s and client.safe_to_close:
@@ -575,9 +577,15 @@
             one for one in unfinished if one.answer is None and not one.client_gone and now < one.deadline
         ]
         first_id = unanswered[0].id if unanswered else b""
-        allowed = reason in CLOSED_BY_CLIENT or not unanswered
+        unhandled = 0 if reason in UNANSWERABLE else sum(1 for _ in client.stream.complete_commands())
+        allowed = reason in CLOSED_BY_CLIENT or not (unanswered or unhandled)
         self.invariants.check(
-            allowed, Invariant.NO_ANSWER_OWED, first_id, owed=len(unanswered), reason=reason.name
+            allowed,
+            Invariant.NO_ANSWER_OWED,
+            first_id,
+            owed=len(unanswered),
+            unhandled=unhandled,
+            reason=reason.name,
         )
         if self.log.logs_steps:
             self.log.say("", "connection.closed", reason=reason.name, owed=len(unfinished))
--- a/merlintally/net/closures.py
+++ b/merlintally/net/closures.py
@@ -27,6 +27,8 @@
 
 # The client is gone, and no answer can reach it.
 CLOSED_BY_CLIENT = frozenset({CloseReason.CLIENT, CloseReason.BROKEN})
+# Commands that were read and not handled can't be answered, since the client is gone or does not read.
+UNANSWERABLE = CLOSED_BY_CLIENT | {CloseReason.STALLED}
 MAX_ADDRESSES = 1024  # counted separately between two log lines
 
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -12,6 +12,7 @@
 from helpers import (
     HI,
     Scene,
+    count_answers,
     known_servers,
     make_deployment,
     parsed_request,
@@ -22,9 +23,12 @@
     wait_until,
 )
 
+from merlintally.net import node as node_module
 from merlintally.net.clients import Client, Clients
+from merlintally.net.closures import CloseReason
 from merlintally.net.configuration import Bounds, parse_page
 from merlintally.net.dispatcher import Dispatcher
+from merlintally.net.invariants import Invariant
 from merlintally.net.log import Log
 from merlintally.net.phases import Phase, Phases
 from merlintally.net.requests import Attempt
@@ -147,6 +151,48 @@
     client.stream.sock.close()
 
 
+@pytest.mark.parametrize("close", CLOSE_METHODS, ids=["sweep", "evict", "retire"])
+@pytest.mark.parametrize("rest", [b"", request_bytes()[:9], b"+1\r\n"], ids=["whole", "partial", "malformed"])
+def test_a_complete_command_in_the_buffer_keeps_its_connection_open(
+    close: Callable[[Clients], object], rest: bytes
+) -> None:
+    """Guards against commands that are read and lost: with all answers written, a close took whole commands
+    in the buffer for one that is not complete in time (review/1)."""
+    clients, raw = clients_of(), request_bytes() * 3 + rest
+    client, theirs = client_of(clients)
+    client.stream.buffer[: len(raw)], client.stream.end = raw, len(raw)
+    client.last_progress_at = client.command_deadline = client.last_progress_at - 100.0
+    with theirs:
+        close(clients)
+        assert not client.closing and not client.ended
+        client.close_reason = CloseReason.NO_REQUEST
+        clients.record_close(client, [])
+    assert clients.invariants.broken[Invariant.NO_ANSWER_OWED] == 1
+    client.stream.sock.close()
+
+
+def test_all_commands_sent_at_once_are_answered_while_connections_are_swept(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against the same loss on sockets: many answers become ready in one turn, just before a sweep."""
+    monkeypatch.setattr(node_module, "SWEEP_S", 0.0005)
+    backend, counts = silent_server(), list[int]()
+    terms = b"c=look,t=plan,d=100,units=1,spread=1,first=0"
+
+    async def act(scene: Scene) -> None:
+        async def ask(count: int) -> None:
+            commands = [request_bytes(terms=terms) for _ in range(count)]
+            counts.append(count_answers(await scene.ask(b"".join(commands), until=count)) - count)
+
+        async with anyio.create_task_group() as group:
+            for count in (23, 70, 111):
+                group.start_soon(ask, count)
+
+    bounds = Bounds(pipelined=3, client_patience_s=0.05)
+    log = run_node(make_deployment(known=known_servers(backend), bounds=bounds), act, backend)
+    assert counts == [0, 0, 0] and "invariant" not in log
+
+
 def test_a_closing_connection_with_unread_input_is_not_evicted() -> None:
     """Closing with unread input resets the connection, and the last answer may be lost."""
     clients = clients_of()
