A client's reset behind unread bytes is seen as its end

Cause: after a reset the TCP state is CLOSE (7), which ENDED_STATES lacked; the unread bytes hide the error.

Change: the state is among those in which the peer has ended.

Evidence: the new test of tests/test_sockets.py with a real reset behind unread bytes failed before (TimeoutError after 5 s) and passes now, beside the same with a close.

--- a/merlintally/net/sockets.py
+++ b/merlintally/net/sockets.py
@@ -23,10 +23,9 @@
 ROUTE_ERRORS = frozenset(
     {errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH, errno.ENETDOWN, errno.EHOSTDOWN}
 )
-
-
-# TCP states (TCP_INFO) in which the peer has sent its FIN, even if bytes before it have not been read yet.
-ENDED_STATES = frozenset({8, 9, 11})  # CLOSE_WAIT, LAST_ACK, CLOSING
+# TCP states (TCP_INFO) in which the peer has ended or reset the connection, even if bytes before that have
+# not been read yet.
+ENDED_STATES = frozenset({7, 8, 9, 11})  # CLOSE, CLOSE_WAIT, LAST_ACK, CLOSING
 
 
 def is_transient(error: OSError) -> bool:
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -4,14 +4,16 @@
 import json
 import os
 import socket
+import struct
 import time
 from random import Random
 from types import SimpleNamespace
 from typing import Any
 from unittest.mock import Mock
 
+import anyio
 import pytest
-from helpers import make_deployment, parsed_request, request_bytes
+from helpers import make_deployment, parsed_request, request_bytes, wait_until
 
 from merlintally.fields import Malformed
 from merlintally.net.backoff import Backoff
@@ -29,7 +31,7 @@
 from merlintally.net.phases import Phase, Phases
 from merlintally.net.resp import array, array_at
 from merlintally.net.servers import parse_answer, parse_numbers
-from merlintally.net.sockets import Buffer, Stream, send_buffers
+from merlintally.net.sockets import Buffer, Stream, configure_tcp, send_buffers
 from merlintally.net.timers import Clock
 
 
@@ -244,6 +246,26 @@
         assert received == b"".join(sent)
 
 
+@pytest.mark.parametrize("linger", [(0, 0), (1, 0)], ids=["close", "reset"])
+def test_the_end_of_a_peer_behind_unread_bytes_is_detected(linger: tuple[int, int]) -> None:
+    """Guards against attempts and memory for clients that have gone: a reset was not seen."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        peer = socket.create_connection(listener.getsockname())
+        ours, _ = listener.accept()
+        stream = Stream(configure_tcp(ours))
+        peer.sendall(b"*4")
+        assert not stream.peer_ended()
+        peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", *linger))
+        peer.close()
+
+        async def act() -> None:
+            await wait_until(stream.peer_ended)
+            assert not stream.nothing_to_read()
+            stream.close()
+
+        anyio.run(act)
+
+
 def test_an_idle_connection_closed_by_its_peer_is_detected() -> None:
     ours, theirs = socket.socketpair()
     with ours:
