--- a/merlintally/net/client_stream.py
+++ b/merlintally/net/client_stream.py
@@ -32,8 +32,9 @@
         clock: Clock,
         ready_times: ReadyTimes,
         not_before: float,
+        memory_wait_s: float,
     ) -> None:
-        super().__init__(sock, held)
+        super().__init__(sock, held, memory_wait_s)
         self._clock, self._ready_times = clock, ready_times
         self._arrivals = Arrivals(not_before)
 
@@ -79,18 +80,18 @@
 
     def _has_room(self) -> bool:
         self._make_room()
-        if self.end == len(self.buffer) and self.memory.full:
+        if self.needs_memory:
             return False
         self._grow()
         return True
 
     def consume(self, stop: int) -> float:
-        """Consume the buffer up to `stop`.
+        """Consume the buffer up to `stop`; positions in it are invalid afterwards.
 
         Returns the earliest time, in Unix seconds, at which the last of these bytes can have arrived.
         """
         earliest = self._arrivals.consume(stop - self.start)
-        self.start = stop
+        self.consume_to(stop)
         return earliest
 
     def complete_commands(self) -> Iterator[int]:
@@ -116,5 +117,5 @@
 
     def discard(self) -> None:
         """Discard what was read and not consumed."""
-        self.start = self.end = 0
+        self.consume_to(self.end)
         self._arrivals.clear()
--- a/merlintally/net/clients.py
+++ b/merlintally/net/clients.py
@@ -7,6 +7,7 @@
 import traceback
 from collections import Counter, deque
 from collections.abc import Awaitable, Callable, Iterator
+from contextlib import suppress
 from functools import partial
 
 import anyio
@@ -24,11 +25,12 @@
 from merlintally.net.polling import ready_times
 from merlintally.net.requests import COMMANDS, PendingAnswer, Request
 from merlintally.net.resp import Span, array_at
-from merlintally.net.sockets import RETRY_S, Buffer, ResourceLimit, configure_tcp
+from merlintally.net.sockets import MAX_BUFFER_BYTES, RETRY_S, Buffer, NoMemory, ResourceLimit, configure_tcp
 from merlintally.net.timers import Clock
 
 ACCEPT_BATCH = 16  # connections accepted before other tasks run
-LINGER_READS = 8  # reads of a connection whose sending side is closed, before it is closed completely
+# Input discarded on a connection whose sending side is closed, before it is closed completely.
+LINGER_BYTES = 2 * MAX_BUFFER_BYTES
 EVICTION_BATCH = 2 * ACCEPT_BATCH  # connections closed at once when descriptors run short
 BUSY_ANSWER = b"-BUSY\r\n"
 CONTROL_COMMANDS = (b"PING", b"CLIENT", b"SELECT", b"QUIT")
@@ -57,7 +59,12 @@
         now = clients.clock.now()
         self.clients, self.admission = clients, admission
         self.stream = ClientStream(
-            sock, clients.held, clients.clock, clients.ready_times, now if not_before is None else not_before
+            sock,
+            clients.held,
+            clients.clock,
+            clients.ready_times,
+            now if not_before is None else not_before,
+            clients.bounds.held_wait_s,
         )
         self.pending: deque[PendingAnswer] = deque()
         self.last_progress_at = now  # in either direction
@@ -70,6 +77,7 @@
         self.has_sent_request = False
         self.fault_count = 0  # invalid commands since the last valid request
         self.unread_bytes = 0  # of answers not written yet, as accounted in `clients.held`
+        self.out_of_memory = False  # the last wait for held memory was in vain, and it is still full
         self._answers_written = anyio.Event()
 
     @property
@@ -120,8 +128,7 @@
 
     def end_may_be_unread(self) -> bool:
         """Return whether the client's end may stand behind bytes that there is no room to read."""
-        stream = self.stream
-        return stream.is_full or (stream.end == len(stream.buffer) and self.clients.held.full)
+        return self.stream.is_full or self.stream.needs_memory
 
     async def run(self) -> None:
         """Serve the connection until it ends.
@@ -152,18 +159,40 @@
 
     async def _serve(self) -> None:
         while not self.closing:
-            if not (count := await self.stream.receive()):
-                self.ended = True
-                self._start_closing(CloseReason.CLIENT)
-                return
-            self.last_progress_at = self.last_read_at = self.clients.clock.now()
-            if count == self.stream.end - self.stream.start:
-                self._restart_command_deadline()
+            try:
+                if not await self._receive():
+                    return
+            except NoMemory:
+                self._reject_incomplete_command()
+                break
+            self.last_progress_at = self.last_read_at
             await self._read_commands()
-            if self.clients.held.full:
-                await self._wait_while_reading(self.clients.held.available)
         await self._linger()
 
+    async def _receive(self) -> bool:
+        """Read more input, and return whether there was any; otherwise the client has ended the connection.
+
+        Raises `NoMemory`.
+        """
+        if not (count := await self.stream.receive()):
+            self._record_end()
+            return False
+        self.last_read_at = self.clients.clock.now()
+        if count == self.stream.end - self.stream.start:
+            self._restart_command_deadline()
+        return True
+
+    def _record_end(self) -> None:
+        """Record that the client has ended the connection."""
+        self.ended = True
+        self._start_closing(CloseReason.CLIENT)
+
+    def _reject_incomplete_command(self) -> None:
+        """Answer the command that is being received as busy, and close: there is no memory for its rest."""
+        self.pending.append(PendingAnswer([BUSY_ANSWER]))
+        self.clients.closures.add(CloseReason.NO_MEMORY, self.remote_host)
+        self.close_after_answers(CloseReason.NO_MEMORY)
+
     def _start_closing(self, reason: CloseReason) -> None:
         """Accept no more commands; the connection ends once all answers are written."""
         self.closing = True
@@ -177,7 +206,8 @@
     async def _read_commands(self) -> None:
         """Handle all complete commands in the buffer.
 
-        Pauses while too many commands are open, or while earlier answers cannot be written.
+        Pauses while too many commands are open, while earlier answers cannot be written, or for some time
+        while held memory is full.
         """
         stream, max_open = self.stream, self.clients.bounds.pipelined
         try:
@@ -190,13 +220,17 @@
                     if stream.is_full:
                         raise Malformed("a command is beyond what is allowed")
                     return
+                if not self._may_hold_more() and not self.out_of_memory:
+                    await self._wait_for_held_memory()
+                    continue
+                self.out_of_memory = not self._may_hold_more()
                 spans, stop = command
-                first, arrived_at = stream.start, stream.consume(stop)
+                first, raw = stream.start, bytes(memoryview(stream.buffer)[stream.start : stop])
+                arrived_at = stream.consume(stop)
                 self._restart_command_deadline()
                 if not spans:
                     await self._penalize_fault()
                 else:
-                    raw = bytes(memoryview(stream.buffer)[first:stop])
                     words = [(one[0] - first, one[1] - first) for one in spans if one is not None]
                     await self._handle_command(
                         raw, words if len(words) == len(spans) else [(0, 0)], arrived_at
@@ -208,6 +242,20 @@
             self.pending.append(PendingAnswer([b"-ERR Protocol error: %b\r\n" % error_text(error)]))
             self.close_after_answers(CloseReason.NO_COMMAND)
 
+    def _may_hold_more(self) -> bool:
+        """Return whether there is memory for a request of this client, besides its receive buffer."""
+        held = self.clients.held
+        return held.used - self.stream.grown_bytes < held.limit
+
+    async def _wait_for_held_memory(self) -> None:
+        """Wait until memory for a further request is available, for a limited time.
+
+        The command stays in the buffer meanwhile, so that the connection is not closed over it.
+        """
+        with anyio.move_on_after(self.clients.bounds.held_wait_s):
+            await self._wait_while_reading(self.clients.held.available)
+        self.out_of_memory = not self._may_hold_more()
+
     def _restart_command_deadline(self) -> None:
         """Restart the timeout for a complete command, unless no request has been sent yet."""
         if self.has_sent_request:
@@ -227,7 +275,8 @@
                 self.has_sent_request, self.fault_count = True, 0
                 if self.admission is not Admission.PERSISTENT:
                     self._start_retiring(CloseReason.FEW_DESCRIPTORS)
-                if self.admission is Admission.REJECT and not clients.evict(urgent=True):
+                no_descriptor = self.admission is Admission.REJECT and not clients.evict(urgent=True)
+                if no_descriptor or self.out_of_memory:
                     self.pending.append(PendingAnswer([BUSY_ANSWER]))
                     self.write_answers()
                     return
@@ -281,15 +330,13 @@
             group.cancel_scope.cancel()
 
     async def _read_ahead(self, waiting: anyio.CancelScope) -> None:
-        while not self.stream.is_full:
-            if not (count := await self.stream.receive()):
-                self.ended = True
-                self._start_closing(CloseReason.CLIENT)
-                waiting.cancel()
-                return
-            self.last_read_at = self.clients.clock.now()
-            if count == self.stream.end - self.stream.start:
-                self._restart_command_deadline()
+        with suppress(NoMemory):
+            while not self.stream.is_full and await self._receive():
+                pass
+        if not self.ended:  # no more can be read: the client's end is detected without reading
+            await self.stream.end_of_peer()
+            self._record_end()
+        waiting.cancel()
 
     async def _linger(self) -> None:
         """Wait until all answers are written, then briefly for the client's end, discarding its input.
@@ -302,9 +349,9 @@
             return
         self.stream.discard()
         with anyio.move_on_after(self.clients.bounds.linger_s):
-            for _ in range(LINGER_READS):
-                if not await self.stream.receive():
-                    break
+            remaining = LINGER_BYTES
+            while remaining > 0 and (count := await self.stream.receive()):
+                remaining -= count
                 self.stream.discard()
 
     def _control_reply(self, name: bytes) -> bytes:
@@ -540,8 +587,28 @@
                     client.end(CloseReason.NO_REQUEST)
             elif stalled_s > bounds.client_idle_s and client.safe_to_close:
                 client.retire(CloseReason.IDLE)
+        if self.held.short:
+            self._reclaim_memory(now)
         self.closures.log_summary(self.log)
 
+    def _reclaim_memory(self, now: float) -> None:
+        """End connections whose clients have stopped in a command, until receive buffers can grow again."""
+        held, freed = self.held, 0
+        stopped = [
+            client
+            for client in self.connections
+            if client.stream.grown_bytes
+            and client.idle
+            and now - client.last_read_at > self.bounds.client_silent_s
+        ]
+        for client in sorted(stopped, key=lambda one: one.last_read_at):
+            if held.used - freed < held.limit - held.reserve:
+                return
+            if client.stream.nothing_to_read():  # otherwise unread input may complete the command
+                freed += client.stream.grown_bytes
+                self.closures.add(CloseReason.NO_MEMORY, client.remote_host)
+                client.end(CloseReason.NO_MEMORY)
+
     async def stop_listening(self) -> None:
         """Accept all waiting connections, retrying failures for a limited time, then close the listener."""
         try:
--- a/merlintally/net/closures.py
+++ b/merlintally/net/closures.py
@@ -16,6 +16,7 @@
     ASKED = "the client sent QUIT"
     NO_REQUEST = "no complete command in time"
     NO_DESCRIPTOR = "no file descriptor available"
+    NO_MEMORY = "no memory for the rest of a command"
     STALLED = "answers not read in time"
     IDLE = "idle timeout"
     FEW_DESCRIPTORS = "few file descriptors available at accept"
--- a/merlintally/net/configuration.py
+++ b/merlintally/net/configuration.py
@@ -45,6 +45,8 @@
     fault_pause_s: float = 0.05  # pause in reading after each of them
     pipelined: int = 16  # commands of one connection processed at a time
     held_share: float = 0.2  # of the memory, for buffered commands and answers; reading stops at it
+    held_reserve_share: float = 0.25  # of the held memory, which receive buffers don't use
+    held_wait_s: float = 0.3  # wait of a command for held memory, after which it is rejected
     kept_back: int = 32  # descriptors reserved for all but clients and app servers
     client_share: float = 0.65  # of the other descriptors, for clients
     client_reserve_share: float = 0.125  # of the clients' ones, for temporary connections
--- a/merlintally/net/node.py
+++ b/merlintally/net/node.py
@@ -149,7 +149,8 @@
             config.pushed,
         )
         async with anyio.create_task_group() as group:
-            memory_limit = ResourceLimit(int(config.memory * bounds.held_share))
+            held_bytes = int(config.memory * bounds.held_share)
+            memory_limit = ResourceLimit(held_bytes, int(held_bytes * bounds.held_reserve_share))
             fleet = Fleet(
                 config, dispatcher, clock, log, group, ResourceLimit(config.server_descriptors), memory_limit
             )
--- a/merlintally/net/servers.py
+++ b/merlintally/net/servers.py
@@ -95,7 +95,7 @@
         self.fleet, self.server = fleet, server
         self.attempt: Attempt | None = attempt
         # Doesn't wait for memory, since handling an answer releases more than it uses.
-        self.stream = Stream(tcp_socket(), fleet.memory, wait_for_memory=False)
+        self.stream = Stream(tcp_socket(), fleet.memory, memory_wait_s=None)
         self.idle_since, self.dead, self.connected = 0.0, False, False
         attempt.link = self
 
@@ -143,7 +143,8 @@
                 if stream.is_full:
                     raise Malformed("an answer is larger than the receive buffer")
                 continue
-            answer, stream.start = parsed
+            answer, stop = parsed
+            stream.consume_to(stop)
             attempt = self.attempt
             if attempt is None or (answer.outcome == "ok" and not attempt.written):
                 raise Malformed("an answer came without a request")
--- a/merlintally/net/sockets.py
+++ b/merlintally/net/sockets.py
@@ -18,6 +18,7 @@
 INITIAL_BUFFER_BYTES = 2048
 MAX_BUFFER_BYTES = 160 << 10  # holds two of the largest values of a message
 RETRY_S = 0.01  # delay before a system call that failed for lack of a resource is repeated
+END_POLL_S = 0.05  # between looks for an end behind unread bytes, which wakes no reader
 SHORTAGES = frozenset({errno.ENOBUFS, errno.ENOMEM})  # leave the connection intact
 # Errors of the route, which the connection may survive; if it does not, the next call reports its end.
 ROUTE_ERRORS = frozenset(
@@ -34,33 +35,52 @@
     return error.errno in SHORTAGES or error.errno in ROUTE_ERRORS
 
 
+class NoMemory(Exception):
+    """A receive buffer could not grow in time, since the memory for buffers is used up."""
+
+
 class ResourceLimit:
     """Limits a resource held at one time, such as descriptors or bytes of memory.
 
-    `acquire` never blocks and may exceed the limit; callers check `full`, or await
-    `available` first.
+    `acquire` never blocks and may exceed the limit; callers check `full`, or await `available` first. A part
+    of the limit, `reserve`, is only for holders that check `full`; the others check `short`.
     """
 
-    def __init__(self, limit: int) -> None:
-        self.limit, self.used = limit, 0
-        self._freed = anyio.Event()
+    def __init__(self, limit: int, reserve: int = 0) -> None:
+        self.limit, self.reserve, self.used = limit, reserve, 0
+        self._available, self._ample = anyio.Event(), anyio.Event()
 
     @property
     def full(self) -> bool:
         return self.used >= self.limit
 
+    @property
+    def short(self) -> bool:
+        """Whether nothing but the reserve is left."""
+        return self.used >= self.limit - self.reserve
+
     def acquire(self, amount: int = 1) -> None:
         self.used += amount
 
     def release(self, amount: int = 1) -> None:
+        was_full, was_short = self.full, self.short
         self.used -= amount
-        freed, self._freed = self._freed, anyio.Event()
-        freed.set()
+        if was_full and not self.full:
+            available, self._available = self._available, anyio.Event()
+            available.set()
+        if was_short and not self.short:
+            ample, self._ample = self._ample, anyio.Event()
+            ample.set()
 
     async def available(self) -> None:
         """Waits until the limit is not reached."""
         while self.full:
-            await self._freed.wait()
+            await self._available.wait()
+
+    async def ample(self) -> None:
+        """Waits until more than the reserve is left."""
+        while self.short:
+            await self._ample.wait()
 
 
 def send_buffers(sock: socket.socket, buffers: Sequence[Buffer]) -> list[Buffer]:
@@ -89,29 +109,31 @@
 class Stream:
     """A connected socket with a receive buffer, whose bytes from `start` to `end` are not yet consumed.
 
-    The buffer's size beyond the initial one counts against the limit `memory`. With `wait_for_memory`, the
-    buffer grows only while that limit is not reached; otherwise it grows regardless.
+    The buffer's size beyond the initial one counts against the limit `memory`, and is given back as soon as
+    the buffer is empty. The buffer grows while more than the reserve of `memory` is left, and waits up to
+    `memory_wait_s` for that; without a wait (None) it grows regardless.
     """
 
     def __init__(
-        self, sock: socket.socket, memory: ResourceLimit | None = None, wait_for_memory: bool = True
+        self,
+        sock: socket.socket,
+        memory: ResourceLimit | None = None,
+        memory_wait_s: float | None = float("inf"),
     ) -> None:
         self.sock, self.closed, self.was_reset = sock, False, False
-        self.memory, self.wait_for_memory = memory or ResourceLimit(MAX_BUFFER_BYTES), wait_for_memory
+        self.memory, self.memory_wait_s = memory or ResourceLimit(MAX_BUFFER_BYTES), memory_wait_s
         self.buffer, self.start, self.end = bytearray(INITIAL_BUFFER_BYTES), 0, 0
         self.unsent: list[Buffer] = []
 
     async def receive(self) -> int:
         """Waits for more bytes and returns their number; 0 if the peer has ended, or the connection is broken
-        or closed."""
+        or closed. Raises `NoMemory` if the buffer can't grow to hold them."""
         while not self.closed:
             if not await self._wait_ready(anyio.wait_readable):
                 continue
             self._make_room()
-            while (
-                self.end == len(self.buffer) and self.wait_for_memory and self.memory.full and not self.closed
-            ):
-                await self.memory.available()
+            if self.needs_memory and not await self._wait_for_memory():
+                return 0
             self._grow()
             try:
                 count = self.sock.recv_into(memoryview(self.buffer)[self.end :])
@@ -140,23 +162,62 @@
             return False
         return not self.closed
 
+    @property
+    def needs_memory(self) -> bool:
+        """Whether the buffer has to grow, and may not do so at present."""
+        return self.end == len(self.buffer) and self.memory_wait_s is not None and self.memory.short
+
+    async def _wait_for_memory(self) -> bool:
+        """Waits until the buffer may grow. Returns False if the connection has ended meanwhile: memory that
+        others wait for must not be held for a peer that has gone. Raises `NoMemory` after `memory_wait_s`."""
+        ends_at = anyio.current_time() + (self.memory_wait_s or 0.0)
+        while self.needs_memory:
+            if self.closed or self.peer_ended():
+                return False
+            if anyio.current_time() >= ends_at:
+                raise NoMemory
+            with anyio.move_on_after(END_POLL_S):
+                await self.memory.ample()
+        return not self.closed
+
+    async def end_of_peer(self) -> None:
+        """Waits until the peer has ended the connection, without reading: the end may be behind unread
+        bytes."""
+        while not self.closed and not self.peer_ended():
+            await anyio.sleep(END_POLL_S)
+
     def _make_room(self) -> None:
-        if self.start == self.end:
-            self.start = self.end = 0
-            if len(self.buffer) > INITIAL_BUFFER_BYTES:
-                self.memory.release(len(self.buffer) - INITIAL_BUFFER_BYTES)
-                self.buffer = bytearray(INITIAL_BUFFER_BYTES)
-        elif self.start and self.end == len(self.buffer):
+        self._release_if_empty()
+        if self.start and self.end == len(self.buffer):
             unconsumed = self.buffer[self.start : self.end]
             self.buffer[: len(unconsumed)] = unconsumed
             self.start, self.end = 0, len(unconsumed)
 
+    def _release_if_empty(self) -> None:
+        """Gives back the memory of a buffer without unconsumed bytes."""
+        if self.start < self.end:
+            return
+        self.start = self.end = 0
+        if self.grown_bytes and not self.closed:
+            self.memory.release(self.grown_bytes)
+            self.buffer = bytearray(INITIAL_BUFFER_BYTES)
+
     def _grow(self) -> None:
         if self.end == len(self.buffer):
             growth = min(len(self.buffer) * 3, max(0, MAX_BUFFER_BYTES - len(self.buffer)))
             self.memory.acquire(growth)
             self.buffer.extend(bytes(growth))
 
+    def consume_to(self, stop: int) -> None:
+        """Consumes the buffer up to `stop`; an empty buffer gives its memory back."""
+        self.start = stop
+        self._release_if_empty()
+
+    @property
+    def grown_bytes(self) -> int:
+        """The buffer's size beyond the initial one, which counts against `memory`."""
+        return len(self.buffer) - INITIAL_BUFFER_BYTES
+
     @property
     def is_full(self) -> bool:
         """Whether as many bytes are unconsumed as the buffer may hold."""
@@ -225,7 +286,7 @@
         """Closes the socket and releases the buffer's memory; does nothing if closed."""
         if not self.closed:
             self.closed = True
-            self.memory.release(len(self.buffer) - INITIAL_BUFFER_BYTES)
+            self.memory.release(self.grown_bytes)
             anyio.notify_closing(self.sock)
             with suppress(OSError):  # the descriptor is released even then
                 self.sock.close()
