Reasons that the wording had dropped stand at their constants and rules again

Change: comments alone. Who states the 0.15 s and the 6 s; that a connection used for less than 2 s may not be closed; what handshakes cost; why failing servers are paused and stalled executions end; the schedule behind the rule on changes of voters. The other reasons of choice.py, net, subsets and cluster that were compared are still there in other words; the laboratory was not compared.

--- a/merlintally/choice.py
+++ b/merlintally/choice.py
@@ -77,7 +77,8 @@
 EMPTY_BUCKET_SHARE_PENALTY = 8.0
 MAX_SKIPPED = 16  # submissions of one queue passed over in one dispatch
 DEADLINE_MARGIN_S = 0.03  # before a hard limit, in which no execution starts
-MAX_STALL_S = 0.15  # longest assumed time between reading the clock and writing the request
+# The operators may hold up a node for this long between reading the clock and writing the request.
+MAX_STALL_S = 0.15
 WAKE_WAITING_S = 0.03  # while submissions wait
 WAKE_OPEN_S = 0.1  # while submissions are open
 WAKE_IDLE_S = 0.5
@@ -403,7 +404,10 @@
         return self.load_ratio * self.slowness * occupancy / (1.05 - self.failure_rate) ** 3
 
     def has_idle_connection(self, now: float) -> bool:
-        """Whether a pooled connection is likely idle, so that a request needs no handshake."""
+        """Whether a pooled connection is likely idle, so that a request needs no handshake.
+
+        Handshakes are paid for over the whole fleet.
+        """
         return self.idle_connections > 0 and now - self.last_answer_at < RECENT_ANSWER_S
 
     def record_outcome(
@@ -419,7 +423,8 @@
     ) -> None:
         """Update load, failure rate and concurrency with the end of an execution.
 
-        The more executions fail, the longer the server is paused, so that fast failures attract no work.
+        The more executions fail, the longer the server is paused, so that neither fast failures nor a dead
+        server attract work.
         `growth` is added to the concurrency for a quick answer at full use. `gateway_load_ratio`, where
         given, replaces this server's own load ratio in the comparison with the limits.
         """
@@ -1095,7 +1100,8 @@
     def _timeout(self, now: float, handle: Submission, server: AppServer) -> float:
         """The execution's timeout in seconds; 0 for none, where another could not answer in time.
 
-        The timeout is shorter at slow servers. The retry credit limits the load by repeats.
+        It ends executions that stall. The timeout is shorter at slow servers. The retry credit limits the
+        load by repeats.
         """
         mean, in_time = (
             handle.lane.mean_time,
--- a/merlintally/cluster/core.py
+++ b/merlintally/cluster/core.py
@@ -740,7 +740,8 @@
         """Begin a change of the configuration; False if it is not possible now.
 
         Voters are not changed if machines with a turn would then hold half of the votes. Whether a machine
-        may be called depends on the voters, so no entry that is not applied yet may precede the change.
+        may be called depends on the voters, so no entry that is not applied yet may precede the change. The
+        seeded schedule 4214 had let a voter in while its machine and another one were out.
         """
         work, raft = self.work, self.raft
         changes_voters = (
--- a/merlintally/net/configuration.py
+++ b/merlintally/net/configuration.py
@@ -36,7 +36,7 @@
 
     queue: int = 2048  # calls waiting for the dispatcher
     client_idle_s: float = 4.0  # idle time after which a client's connection is closed
-    client_rest_s: float = 2.0  # the same where its descriptor is needed for another client
+    client_rest_s: float = 2.0  # the same where its descriptor is needed; sooner is not allowed
     client_silent_s: float = 0.25  # the same, for a connection without any request so far
     client_patience_s: float = 2.2  # for a connection's first request, or for the rest of a command
     client_stall_s: float = 5.0  # without progress in writing answers, before a client is closed
--- a/merlintally/net/discovery.py
+++ b/merlintally/net/discovery.py
@@ -16,7 +16,8 @@
 from merlintally.net.sockets import Stream, connect, tcp_socket
 
 MAX_BODY_BYTES = 8 << 20
-CHANGE_NOTICE_S = 6.0  # after a change the node is held to it, whether it has received it or not
+# After a change the node is held to it, whether it has received it or not, by the operators' standing test.
+CHANGE_NOTICE_S = 6.0
 NO_WAIT_S = 0.001  # the wait of a call that only fetches the changes made so far
 
 
