A command rejected before its rest came is answered once

What callers would see: a second "-BUSY" on a connection that is being closed, where the rest of a command came after it had been rejected for want of memory, and an earlier answer was still due.

Found on reading the change again.

Change: Client.framing_lost says that what follows can't be told apart into commands, after such a rejection and after malformed input; nothing more is answered then.

Evidence: the new test of tests/test_held_memory.py failed before (3 answers, 2 due) and passes now.

--- a/merlintally/net/clients.py
+++ b/merlintally/net/clients.py
@@ -78,6 +78,7 @@
         self.fault_count = 0  # invalid commands since the last valid request
         self.unread_bytes = 0  # of answers not written yet, as accounted in `clients.held`
         self.out_of_memory = False  # the last wait for held memory was in vain, and it is still full
+        self.framing_lost = False  # the input that follows cannot be told apart into commands
         self._answers_written = anyio.Event()
 
     @property
@@ -188,7 +189,11 @@
         self._start_closing(CloseReason.CLIENT)
 
     def _reject_incomplete_command(self) -> None:
-        """Answer the command that is being received as busy, and close: there is no memory for its rest."""
+        """Answer the command that is being received as busy, and close: there is no memory for its rest.
+
+        The rest may still come while earlier answers are due; it is not another command.
+        """
+        self.framing_lost = True
         self.pending.append(PendingAnswer([BUSY_ANSWER]))
         self.clients.closures.add(CloseReason.NO_MEMORY, self.remote_host)
         self.close_after_answers(CloseReason.NO_MEMORY)
@@ -236,6 +241,7 @@
                         raw, words if len(words) == len(spans) else [(0, 0)], arrived_at
                     )
         except Malformed as error:  # framing is lost: answer the commands before it, and close
+            self.framing_lost = True
             self.clients.log.say(
                 f"client {self.remote_address}: {error}; its connection is closed", "client.closed"
             )
@@ -390,6 +396,8 @@
 
     def _reject_unhandled(self) -> Iterator[Buffer]:
         """Yield busy answers for complete commands in the buffer that will not be handled any more."""
+        if self.framing_lost:
+            return
         for stop in list(self.stream.complete_commands()):
             self.stream.consume(stop)
             self.clients.rejected_unhandled += 1
@@ -644,7 +652,8 @@
             one for one in unfinished if one.answer is None and not one.client_gone and now < one.deadline
         ]
         first_id = unanswered[0].id if unanswered else b""
-        unhandled = 0 if reason in UNANSWERABLE else sum(1 for _ in client.stream.complete_commands())
+        unanswerable = reason in UNANSWERABLE or client.framing_lost
+        unhandled = 0 if unanswerable else sum(1 for _ in client.stream.complete_commands())
         allowed = reason in CLOSED_BY_CLIENT or not (unanswered or unhandled)
         self.invariants.check(
             allowed,
--- a/tests/test_held_memory.py
+++ b/tests/test_held_memory.py
@@ -15,6 +15,7 @@
     run_node,
     server,
     silent_server,
+    wait_until,
 )
 
 from merlintally.net.configuration import Bounds
@@ -102,6 +103,27 @@
     assert answers == [b"-BUSY\r\n", HI]
 
 
+def test_a_command_that_was_rejected_before_its_rest_came_is_answered_once() -> None:
+    """Guards against a second answer: the rest comes while an earlier answer is due, and completes it."""
+    backend, answers = silent_server(), list[bytes]()
+
+    async def act(scene: Scene) -> None:
+        with ExitStack() as stack:
+            socks = await begin_commands(scene, stack, [45_000] * 33)
+            asking = stack.enter_context(await scene.connect())
+            await send_all(asking, request_bytes())
+            await wait_until(lambda: bool(backend.received))
+            await send_all(asking, long_request())
+            await anyio.sleep(0.4)  # longer than a command waits for memory
+            for sock in socks:
+                sock.close()
+            answers.append(await scene.receive(asking))
+
+    bounds = Bounds(client_silent_s=9.0, client_patience_s=9.0)
+    run_node(make_deployment(known=known_servers(backend), memory=MEMORY_BYTES, bounds=bounds), act, backend)
+    assert answers[0].count(b"-BUSY") == 2
+
+
 def test_a_short_command_is_rejected_in_time_while_open_requests_hold_all_memory() -> None:
     """Guards against requests that are read and not handled until the requests before them have ended."""
     backend, answers = silent_server(), list[bytes]()
