A node's record keeps its events while its disk is full

In its records n0 has no line from 4667.761 to 4669.389, the span of its fault "full" (from 4667.858), and sent to s3 at 4668.165, 0.03 s before the first line "done" of another node: the limit stopped the record, too. Change: lines that can't be written are written with a later event, 4,096 at the most.

--- a/merlintally/cluster/record.py
+++ b/merlintally/cluster/record.py
@@ -4,7 +4,7 @@
 
 import os
 import time
-from contextlib import suppress
+from collections import deque
 from pathlib import Path
 from typing import Any, TextIO
 
@@ -13,15 +13,18 @@
 from merlintally.net.log import Log, Style
 
 ANSWERED = "submission.answered"
+MAX_UNWRITTEN_LINES = 4096  # kept while writes fail; the oldest are dropped beyond it
 
 
 class Record:
-    """Writes each line at once, so that the record of a killed process is complete. Times are CLOCK_MONOTONIC
-    seconds, comparable on one machine."""
+    """Writes each line at once, so that the record of a killed process is complete. Lines that cannot be
+    written, while the disk is full, are written with a later event. Times are CLOCK_MONOTONIC seconds,
+    comparable on one machine."""
 
     def __init__(self, path: str | Path, node: str, start: int) -> None:
         self.node, self.start, self.encode = node, start, msgspec.json.Encoder().encode
         self.file = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o644)
+        self._unwritten: deque[bytes] = deque(maxlen=MAX_UNWRITTEN_LINES)
 
     def add(self, event: str, **fields: Any) -> None:
         """Write one event."""
@@ -32,8 +35,20 @@
             "event": event,
             **fields,
         }
-        with suppress(OSError):  # the node continues when the disk is full
-            os.write(self.file, self.encode(row) + b"\n")
+        self._unwritten.append(self.encode(row) + b"\n")
+        self._write_lines()
+
+    def _write_lines(self) -> None:
+        while self._unwritten:
+            line = self._unwritten[0]
+            try:
+                written = os.write(self.file, line)
+            except OSError:
+                return  # the node continues when the disk is full
+            if written == len(line):
+                self._unwritten.popleft()
+            else:
+                self._unwritten[0] = line[written:]
 
 
 def count_starts(path: str | Path) -> int:
--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -3,7 +3,9 @@
 
 from __future__ import annotations
 
+import errno
 import json
+import os
 import subprocess
 import sys
 from collections.abc import Awaitable, Callable
@@ -32,8 +34,9 @@
     read_frame,
     request,
 )
+from merlintally.cluster.record import Record
 from merlintally.forms import InputError
-from merlintally.lab.faults.check import check
+from merlintally.lab.faults.check import check, rows_of
 from merlintally.lab.faults.play import play
 from merlintally.lab.faults.scenario import FaultForm, Scenario, read_scenario, shipped
 from merlintally.lab.live.play import Live
@@ -430,6 +433,27 @@
     assert found["work"]["turns"] == 3
 
 
+def test_a_record_keeps_events_while_its_disk_is_full(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a play judged by a record that lacks what its node did while it could write no file."""
+    record, write = Record(tmp_path / "n0.jsonl", "n0", 1), os.write
+    limits = [7, None, None]  # bytes that the disk still takes at each write; None: it is full
+
+    def full(file: int, line: bytes) -> int:
+        limit = limits.pop(0)
+        if limit is None:
+            raise OSError(errno.EFBIG, "full")
+        return write(file, line[:limit])
+
+    monkeypatch.setattr(os, "write", full)
+    record.add("out", machine="m3")
+    record.add("done", machine="m3")
+    monkeypatch.undo()
+    record.add("back", machine="m3")
+    assert [row["event"] for row in rows_of(tmp_path)] == ["out", "done", "back"]
+
+
 def test_nodes_restart_with_folders_that_are_outdated_empty_torn_and_corrupt(tmp_path: Path) -> None:
     form = read_scenario("late-return")
     assert form.work is not None
