--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,4 @@
-"""Edge nodes of a cluster are killed one after another and start from nothing: what they agreed on is lost."""
+"""Edge nodes of a cluster are killed one by one and start from nothing: what they agreed on is lost."""
 
 from __future__ import annotations
 
--- a/review/stand-2/stand.py
+++ b/review/stand-2/stand.py
@@ -81,7 +81,8 @@
 
 
 class Discovery:
-    """The agent of one edge node. `refuse(now)` says whether a call is refused with status 503."""
+    """What answers one edge node. `refuse(now)` says whether a call is refused with status 503, and `delay()`
+    for how long an answer is held before it is written."""
 
     def __init__(self, record: Record, node: str) -> None:
         self.record, self.node, self.port = record, node, free_port()
@@ -89,6 +90,7 @@
         self.versions: dict[str, int] = {}
         self.told: dict[tuple[str, str], float] = {}  # server, status -> when it was written to the node
         self.refuse: Callable[[float], bool] = lambda at: False
+        self.delay: Callable[[], float] = lambda: 0.0
         self.calls, self.writers = 0, set[asyncio.StreamWriter]()
 
     async def start(self) -> None:
@@ -125,6 +127,9 @@
                     with suppress(TimeoutError):
                         async with asyncio.timeout(int(fields.get("timeout_ms", "0")) / 1000):
                             await self.changed.wait()
+                await asyncio.sleep(self.delay())
+                if reader.at_eof():
+                    break  # given up
                 page = self.page(since)
                 body = json.dumps(page).encode()
                 writer.write(
