--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,11 +1,11 @@
-"""Idle clients fill the descriptors of the voters: each gives its log up, and what was agreed is lost."""
+"""A new configuration moves discovery, which refuses the first call: a drain is followed too late."""
 
 from __future__ import annotations
 
 import asyncio
 import json
 import random
-import subprocess
+import signal
 import sys
 from pathlib import Path
 from typing import Any
@@ -15,152 +15,133 @@
 
 import stand  # noqa: E402
 
-VOTERS = ("n0", "n1", "n2")
-NAMES = tuple(f"n{number}" for number in range(14))
-SERVERS = 60
-DESCRIPTORS = 256  # that a process may hold, as its configuration tells it
-SILENT = 300  # clients of each voter that connect and say nothing
-CROWD_S, QUIET_S = 25.0, 20.0
-EVERY_S = 0.015  # between two requests of usual clients at one voter
-CLASSES = [{"name": "eligibility", "aimS": 2.0, "deadlineS": 8.0, "importance": 1.0, "repeat": "repeatable"}]
-PLANS = [{"name": "laaja", "unitsPerS": 100.0, "mostAtOnce": 200.0, "valueFactor": 1.8}]
-
-
-async def command(record: stand.Record, *args: str) -> tuple[int, str]:
-    """Run a command of `merlintally`: its exit code and what it prints."""
-    process = await asyncio.create_subprocess_exec(
-        str(stand.ROOT / ".venv/bin/python"),
-        "-m",
-        "merlintally",
-        *args,
-        cwd=stand.ROOT,
-        stdout=asyncio.subprocess.PIPE,
-        stderr=asyncio.subprocess.STDOUT,
-    )
-    output = (await process.communicate())[0].decode()
-    record.note("command", args="_".join(args[:2]), code=process.returncode, said=repr(output[:200]))
-    return process.returncode or 0, output
-
-
-def write_operators(folder: Path, name: str, ports: dict[str, int]) -> Path:
-    """Write the operators' file of a node."""
-    seeds = "\n".join(f'{voter} = "{stand.HOST}:{ports[voter]}"' for voter in VOTERS)
-    path = folder / f"{name}.toml"
-    path.write_text(f"""[cluster]
-name = "review"
-folder = "{folder / name}"
-listen = "{stand.HOST}:{ports[name]}"
-secret = "of the review"
-voters = {json.dumps(VOTERS)}
-[cluster.seeds]
-{seeds}
-""")
-    return path
-
-
-async def crowd(record: stand.Record, nodes: dict[str, stand.Node], told: tuple[str, ...]) -> None:
-    """Usual load on the voters and looks at the state of work, and idle clients beside them."""
-    floods: list[subprocess.Popen[bytes]] = []
-    if stand.trouble():
-        record.note("trouble", silent=SILENT, voters=len(VOTERS), seconds=CROWD_S)
-        for name in VOTERS:
-            args = [str(HERE.parent / "stand-2/idle.py"), str(nodes[name].port), str(SILENT), str(CROWD_S)]
-            floods.append(subprocess.Popen([sys.executable, *args]))
-    asks = list[asyncio.Task[Any]]()
-    clients = [stand.Client(record, nodes[name].port) for name in VOTERS]
-    ends, number = stand.now() + CROWD_S, 0
-    try:
-        while stand.now() < ends:
-            for client in clients:
-                customer = f"{random.randrange(400):016x}"
-                asks.append(asyncio.create_task(client.ask("eligibility", "laaja", 8000, customer, spread=3)))
-            if number % 60 == 0:
-                for name in VOTERS:
-                    asks.append(asyncio.create_task(command(record, "work", "status", *told, "--node", name)))
-            number += 1
-            await asyncio.sleep(EVERY_S)
-        await asyncio.gather(*asks, return_exceptions=True)
-    finally:
-        for one in floods:
-            if one.poll() is None:
-                one.kill()
-            one.wait()
+NODES, SERVERS = 4, 12
+MOVES = 3
+CROWDED_S = 0.5  # for which the new discovery refuses calls, from the move on
+TOLD_S = 4.0  # after SIGHUP
+GRACE_S = 0.25 + 0.05  # of drains, and what sockets add
+WORK_S = 0.3
+EVERY_S = 0.01  # between two requests, over all edge nodes
+DRAINED = 2  # app servers that begin to drain at each move
+
+CLASSES = [
+    {"name": "eligibility", "aimS": 2.0, "deadlineS": 8.0, "importance": 1.0, "repeat": "repeatable"},
+    {"name": "draft-save", "aimS": 2.0, "deadlineS": 8.0, "importance": 2.0, "repeat": "repeatable"},
+]
+PLANS = [{"name": "laaja", "unitsPerS": 15.0, "mostAtOnce": 33.0, "valueFactor": 1.8}]
+
+
+class DrainingServer(stand.AppServer):
+    """Turns new work away once it drains."""
+
+    drains = False
+
+    async def answer(self, words: list[bytes]) -> bytes | None:
+        return b"-BUSY\r\n" if self.drains else await super().answer(words)
+
+
+async def move_discovery(
+    record: stand.Record,
+    nodes: list[stand.Node],
+    agents: list[list[stand.Discovery]],
+    move: int,
+    servers: list[DrainingServer],
+) -> float:
+    """Name other addresses in the files and send SIGHUP; two more app servers drain from then on."""
+    drained = servers[: DRAINED * move]
+    moved_at = stand.now()
+    for server in drained:
+        server.drains = True
+    for agent in (agent for row in agents[move:] for agent in row):
+        for server in drained:
+            agent.set(server.entry("DRAINING"))
+    for node, agent in zip(nodes, agents[move], strict=True):
+        if stand.trouble():
+            agent.refuse = lambda at: at < moved_at + CROWDED_S
+        config = json.loads(node.path.read_text()) | {"discovery": f"{stand.HOST}:{agent.port}"}
+        new = node.path.with_suffix(".new")
+        new.write_text(json.dumps(config))
+        new.replace(node.path)
+        node.signal(signal.SIGHUP)
+    record.note("moved", move=move, crowded_s=CROWDED_S if stand.trouble() else 0)
+    for agent in agents[move - 1]:
+        agent.server.close()
+    await asyncio.sleep(1.5)
+    for agent in agents[move - 1]:
+        for writer in agent.writers:
+            writer.close()
+    return moved_at
 
 
 async def case(record: stand.Record, folder: Path) -> bool:
     counter = stand.CountServer()
-    servers = [stand.AppServer(record, f"s{number}", 0.3) for number in range(SERVERS)]
-    for part in (counter, *servers):
+    servers = [DrainingServer(record, f"s{number}", WORK_S) for number in range(SERVERS)]
+    agents = [[stand.Discovery(record, f"n{number}") for number in range(NODES)] for _ in range(MOVES + 1)]
+    for part in (counter, *servers, *(agent for row in agents for agent in row)):
         await part.start()
-    ports = {name: stand.free_port() for name in NAMES}
-    nodes: dict[str, stand.Node] = {}
-    for number, name in enumerate(NAMES):
-        agent = stand.Discovery(record, name)
-        await agent.start()
+    for agent in (agent for row in agents for agent in row):
         for server in servers:
             agent.set(server.entry())
-        operators = write_operators(folder, name, ports)
+    nodes = []
+    for number, discovery in enumerate(agents[0]):
         config = stand.configuration(
-            number, len(NAMES), agent.port, counter.port, classes=CLASSES, plans=PLANS, known=agent.page(None)
+            number,
+            NODES,
+            discovery.port,
+            counter.port,
+            classes=CLASSES,
+            plans=PLANS,
+            known=discovery.page(None),
+            settings={"discovery": "on_request", "rules": {"askEveryS": 10.0}},
         )
-        config["limits"]["sockets"] = DESCRIPTORS
-        serve = f"serve --config {folder / name}.json --operators {operators}"
-        run = f"ulimit -n {DESCRIPTORS}; exec .venv/bin/python -m merlintally {serve}"
-        nodes[name] = stand.Node(config, folder, run)
-        if name in VOTERS and (await command(record, "cluster", "init", "--operators", str(operators)))[0]:
-            raise RuntimeError("a folder can't be initialised")
-    machines = folder / "machines.toml"
-    machines.write_text(
-        "".join(
-            f'[[machine]]\nname = "m{number}"\npool = "edge"\nzone = "a"\nedges = ["{name}"]\n'
-            for number, name in enumerate(NAMES)
-        )
-    )
-    told = "--operators", str(folder / "n0.toml")
+        nodes.append(stand.Node(config, folder))
+    for node in nodes:
+        node.start()
     try:
-        for node in nodes.values():
-            node.start()
-        for node in nodes.values():
+        for node in nodes:
             await node.ready()
-        for _ in range(10):  # until there is a leader
-            if not (await command(record, "work", "machines", *told, str(machines)))[0]:
-                break
-            await asyncio.sleep(1)
-        else:
-            raise RuntimeError("the list of machines wasn't taken")
-        asked = ("--machine", "m5", "--reason", "kernel", "--id", "r-1")
-        if (await command(record, "work", "request", *told, *asked))[0]:
-            raise RuntimeError("the request wasn't taken")
-        if (await command(record, "work", "pause", *told, "r-1"))[0]:
-            raise RuntimeError("the request wasn't paused")
-        await asyncio.sleep(3)  # all have heard of it
-        await crowd(record, nodes, told)
-        await asyncio.sleep(QUIET_S)
-        knows, set_aside, serves = [], [], []
-        for name in VOTERS:
-            where = ("--operators", str(folder / f"{name}.toml"), "--node", name)
-            knows.append("r-1" in (await command(record, "work", "status", *where))[1])
-            client = stand.Client(record, nodes[name].port)
-            answers = [
-                await client.ask("eligibility", "laaja", 2000, f"{1:016x}", spread=3) for _ in range(5)
-            ]
-            serves.append(any(one.answer.startswith(b"$") for one in answers))
-            set_aside.append(len(list((folder / name).glob("agreement.log.older-*"))))
-        code, _ = await command(record, "work", "request", *told, "--machine", "m6", "--reason", "disk")
-        if any(node.process.poll() is not None for node in nodes.values()):
-            record.note("node.ended")
+        clients = [stand.Client(record, node.port) for node in nodes]
+        asks = list[asyncio.Task[Any]]()
+
+        async def load(until: float) -> None:
+            number = 0
+            while stand.now() < until:
+                client, customer = random.choice(clients), f"{number % 24:016x}"
+                asks.append(
+                    asyncio.create_task(client.ask("draft-save", "laaja", 2000, customer, spread=NODES))
+                )
+                number += 1
+                await asyncio.sleep(EVERY_S)
+
+        loading = asyncio.create_task(load(stand.now() + 3 + 9 * MOVES))
+        await asyncio.sleep(3)
+        moves = []
+        for move in range(1, MOVES + 1):
+            moves.append(await move_discovery(record, nodes, agents, move, servers))
+            await asyncio.sleep(9 - (stand.now() - moves[-1]))
+        await loading
+        await asyncio.gather(*asks, return_exceptions=True)
+        if any(node.process.poll() is not None for node in nodes):
+            raise RuntimeError("an edge node has ended")
     finally:
-        for node in nodes.values():
+        for node in nodes:
             node.end()
-    record.note(
-        "result",
-        knows_request=knows,
-        logs_set_aside=set_aside,
-        takes_another=code == 0,
-        serves=serves,
-        refused_work=sum(one.answer.startswith(b"-BUSY") for one in answers),
-    )
-    return all(knows) and not any(set_aside) and code == 0
+    too_late = 0
+    for move, moved_at in enumerate(moves, 1):
+        drained = servers[DRAINED * (move - 1) : DRAINED * move]
+        told = [agent.told.get((drained[0].name, "DRAINING"), float("inf")) for agent in agents[move]]
+        begun = sorted(first - moved_at for server in drained for first, _, _ in server.attempts)
+        late = [at for at in begun if at > TOLD_S + GRACE_S]
+        too_late += len(late)
+        record.note(
+            "result",
+            move=move,
+            told_after_s=",".join(f"{at - moved_at:.3f}" for at in told),
+            sent_while_draining=sum(at > 0 for at in begun),
+            too_late=len(late),
+            last_s=f"{max(late, default=0):.3f}",
+        )
+    return not too_late
 
 
 stand.run_case(case, HERE)
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,147 +1,122 @@
-"""A new configuration moves discovery, which refuses the first call: a drain is followed too late."""
+"""Bad clients send hundreds of commands at once and the same again: usual clients get no answer in time."""
 
 from __future__ import annotations
 
 import asyncio
-import json
 import random
-import signal
+import subprocess
 import sys
 from pathlib import Path
-from typing import Any
 
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "stand-2"))
 
 import stand  # noqa: E402
 
-NODES, SERVERS = 4, 12
-MOVES = 3
-CROWDED_S = 0.5  # for which the new discovery refuses calls, from the move on
-TOLD_S = 4.0  # after SIGHUP
-GRACE_S = 0.25 + 0.05  # of drains, and what sockets add
-WORK_S = 0.3
-EVERY_S = 0.01  # between two requests, over all edge nodes
-DRAINED = 2  # app servers that begin to drain at each move
+CONNECTIONS = 280  # of bad clients: with those of usual ones fewer than a third of the 1,024 descriptors
+AT_ONCE = 200  # commands
+PROCESSES = 4
+QUIET_S, TROUBLE_S, AFTER_S = 2.0, 10.0, 3.0
+EVERY_S = 0.04  # between two requests of usual clients
+WAITS_MS = (500, 1000, 2000)
+LATE_S = 0.55  # after a request's time, from which it is lost: half a second, and 50 ms on sockets
+BUSY_S = 0.2  # by which the stand-ins themselves may be late, of a run that counts
 
 CLASSES = [
     {"name": "eligibility", "aimS": 2.0, "deadlineS": 8.0, "importance": 1.0, "repeat": "repeatable"},
     {"name": "draft-save", "aimS": 2.0, "deadlineS": 8.0, "importance": 2.0, "repeat": "repeatable"},
 ]
-PLANS = [{"name": "laaja", "unitsPerS": 15.0, "mostAtOnce": 33.0, "valueFactor": 1.8}]
-
-
-class DrainingServer(stand.AppServer):
-    """Turns new work away once it drains."""
-
-    drains = False
-
-    async def answer(self, words: list[bytes]) -> bytes | None:
-        return b"-BUSY\r\n" if self.drains else await super().answer(words)
+PLANS = [
+    {"name": "perus", "unitsPerS": 1.7, "mostAtOnce": 12.0, "beyondCosts": 1.0, "valueFactor": 1.2},
+    {"name": "laaja", "unitsPerS": 15.0, "mostAtOnce": 33.0, "valueFactor": 1.8},
+]
 
 
-async def move_discovery(
-    record: stand.Record,
-    nodes: list[stand.Node],
-    agents: list[list[stand.Discovery]],
-    move: int,
-    servers: list[DrainingServer],
-) -> float:
-    """Name other addresses in the files and send SIGHUP; two more app servers drain from then on."""
-    drained = servers[: DRAINED * move]
-    moved_at = stand.now()
-    for server in drained:
-        server.drains = True
-    for agent in (agent for row in agents[move:] for agent in row):
-        for server in drained:
-            agent.set(server.entry("DRAINING"))
-    for node, agent in zip(nodes, agents[move], strict=True):
-        if stand.trouble():
-            agent.refuse = lambda at: at < moved_at + CROWDED_S
-        config = json.loads(node.path.read_text()) | {"discovery": f"{stand.HOST}:{agent.port}"}
-        new = node.path.with_suffix(".new")
-        new.write_text(json.dumps(config))
-        new.replace(node.path)
-        node.signal(signal.SIGHUP)
-    record.note("moved", move=move, crowded_s=CROWDED_S if stand.trouble() else 0)
-    for agent in agents[move - 1]:
-        agent.server.close()
-    await asyncio.sleep(1.5)
-    for agent in agents[move - 1]:
-        for writer in agent.writers:
-            writer.close()
-    return moved_at
+async def measure_lag(lags: list[float]) -> None:
+    """How late this process, which holds the stand-ins, runs itself."""
+    while True:
+        before = stand.now()
+        await asyncio.sleep(0.02)
+        lags.append(stand.now() - before - 0.02)
 
 
 async def case(record: stand.Record, folder: Path) -> bool:
-    counter = stand.CountServer()
-    servers = [DrainingServer(record, f"s{number}", WORK_S) for number in range(SERVERS)]
-    agents = [[stand.Discovery(record, f"n{number}") for number in range(NODES)] for _ in range(MOVES + 1)]
-    for part in (counter, *servers, *(agent for row in agents for agent in row)):
+    discovery, counter = stand.Discovery(record, "n0"), stand.CountServer()
+    servers = [stand.AppServer(record, f"s{number}") for number in range(8)]
+    for part in (discovery, counter, *servers):
         await part.start()
-    for agent in (agent for row in agents for agent in row):
-        for server in servers:
-            agent.set(server.entry())
-    nodes = []
-    for number, discovery in enumerate(agents[0]):
-        config = stand.configuration(
-            number,
-            NODES,
-            discovery.port,
-            counter.port,
-            classes=CLASSES,
-            plans=PLANS,
-            known=discovery.page(None),
-            settings={"discovery": "on_request", "rules": {"askEveryS": 10.0}},
-        )
-        nodes.append(stand.Node(config, folder))
-    for node in nodes:
-        node.start()
+    for server in servers:
+        discovery.set(server.entry())
+    known = discovery.page(None)
+    node = stand.Node(
+        stand.configuration(0, 2, discovery.port, counter.port, classes=CLASSES, plans=PLANS, known=known),
+        folder,
+    )
+    node.start()
+    floods: list[subprocess.Popen[bytes]] = []
+    lags: list[float] = []
+    lag_task = asyncio.create_task(measure_lag(lags))
     try:
-        for node in nodes:
-            await node.ready()
-        clients = [stand.Client(record, node.port) for node in nodes]
-        asks = list[asyncio.Task[Any]]()
-
-        async def load(until: float) -> None:
-            number = 0
-            while stand.now() < until:
-                client, customer = random.choice(clients), f"{number % 24:016x}"
-                asks.append(
-                    asyncio.create_task(client.ask("draft-save", "laaja", 2000, customer, spread=NODES))
+        await node.ready()
+        client = stand.Client(record, node.port)
+        began, asks = stand.now(), list[asyncio.Task[stand.Sent]]()
+        number = 0
+        while (passed := stand.now() - began) < QUIET_S + TROUBLE_S + AFTER_S:
+            if passed > QUIET_S and not floods and stand.trouble():
+                record.note("trouble", connections=CONNECTIONS, at_once=AT_ONCE, seconds=TROUBLE_S)
+                for process in range(PROCESSES):
+                    args = [str(node.port), str(CONNECTIONS // PROCESSES), str(AT_ONCE), str(TROUBLE_S)]
+                    floods.append(
+                        subprocess.Popen(
+                            [sys.executable, str(HERE.parent / "stand-2/flood.py"), *args]
+                            + ["eligibility", "perus", str(process)],
+                            stdout=subprocess.PIPE,
+                        )
+                    )
+            customer = f"{number % 20:016x}"
+            asks.append(
+                asyncio.create_task(
+                    client.ask("draft-save", "laaja", random.choice(WAITS_MS), customer, spread=2)
                 )
-                number += 1
-                await asyncio.sleep(EVERY_S)
-
-        loading = asyncio.create_task(load(stand.now() + 3 + 9 * MOVES))
-        await asyncio.sleep(3)
-        moves = []
-        for move in range(1, MOVES + 1):
-            moves.append(await move_discovery(record, nodes, agents, move, servers))
-            await asyncio.sleep(9 - (stand.now() - moves[-1]))
-        await loading
-        await asyncio.gather(*asks, return_exceptions=True)
-        if any(node.process.poll() is not None for node in nodes):
-            raise RuntimeError("an edge node has ended")
+            )
+            number += 1
+            await asyncio.sleep(EVERY_S)
+        results = await asyncio.gather(*asks, return_exceptions=True)
+        if node.process.poll() is not None:
+            record.note("node.ended", code=node.process.returncode)
+            return False
+        turned_away = sum(int(one.communicate()[0] or b"0") for one in floods)
     finally:
-        for node in nodes:
-            node.end()
-    too_late = 0
-    for move, moved_at in enumerate(moves, 1):
-        drained = servers[DRAINED * (move - 1) : DRAINED * move]
-        told = [agent.told.get((drained[0].name, "DRAINING"), float("inf")) for agent in agents[move]]
-        begun = sorted(first - moved_at for server in drained for first, _, _ in server.attempts)
-        late = [at for at in begun if at > TOLD_S + GRACE_S]
-        too_late += len(late)
+        lag_task.cancel()
+        for one in floods:
+            if one.poll() is None:
+                one.kill()
+            one.wait()
+        node.end()
+    failed = [one for one in results if isinstance(one, BaseException)]
+    late = [
+        one
+        for one in client.sent
+        if not one.answered or one.answered - one.sent > one.wait_s + LATE_S + max(lags)
+    ]
+    never = [one for one in late if not one.answered]
+    record.note(
+        "result",
+        requests=len(client.sent),
+        lost=len(late),
+        never_answered=len(never),
+        latest=f"{max((one.answered or one.closed) - one.sent - one.wait_s for one in client.sent):.3f}",
+        not_reached=len(failed),
+        bad_answers=turned_away,
+        own_lag=f"{max(lags):.3f}",
+    )
+    for one in late:
         record.note(
-            "result",
-            move=move,
-            told_after_s=",".join(f"{at - moved_at:.3f}" for at in told),
-            sent_while_draining=sum(at > 0 for at in begun),
-            too_late=len(late),
-            last_s=f"{max(late, default=0):.3f}",
+            "lost", id=one.id, wait=one.wait_s, after=f"{(one.answered or one.closed) - one.sent:.3f}"
         )
-    return not too_late
+    if max(lags) > BUSY_S:
+        raise RuntimeError(f"the stand-ins ran {max(lags):.3f} s late")
+    return not late
 
 
 stand.run_case(case, HERE)
