--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,127 +1,108 @@
-"""Edge nodes of a cluster are killed one by one and start from nothing: what they agreed on is lost."""
+"""Customers that come only once are never forgotten: the edge node goes over its memory and is killed."""
 
 from __future__ import annotations
 
 import asyncio
-import json
-import shutil
+import random
 import signal
 import sys
+from contextlib import suppress
 from pathlib import Path
-from typing import Any
 
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "stand-2"))
 
 import stand  # noqa: E402
 
-NAMES = ("n0", "n1", "n2")
-QUIET_S = 25.0  # after the last restart, until what is left is looked at
-CLASSES = [{"name": "eligibility", "aimS": 2.0, "deadlineS": 4.0, "importance": 1.0, "repeat": "repeatable"}]
-PLANS = [{"name": "laaja", "unitsPerS": 15.0, "mostAtOnce": 33.0, "valueFactor": 1.8}]
+MEMORY_MB = 64
+REQUESTS_PER_S = 560  # four times 140, at one edge node
+ONCE = 0.45  # share of requests of customers that come only once
+SECONDS = 100.0
+LOOK_S = 0.25  # between two looks of the platform at the memory
+USUAL = 200  # customers
 
-
-async def command(record: stand.Record, *args: str) -> tuple[int, str]:
-    """Run a command of `merlintally`: its exit code and what it prints."""
-    process = await asyncio.create_subprocess_exec(
-        str(stand.ROOT / ".venv/bin/python"),
-        "-m",
-        "merlintally",
-        *args,
-        cwd=stand.ROOT,
-        stdout=asyncio.subprocess.PIPE,
-        stderr=asyncio.subprocess.STDOUT,
-    )
-    output = (await process.communicate())[0].decode()
-    record.note("command", args="_".join(args[:2]), code=process.returncode, said=repr(output[:300]))
-    return process.returncode or 0, output
+CLASSES = [
+    {"name": "eligibility", "aimS": 2.0, "deadlineS": 8.0, "importance": 1.0, "repeat": "repeatable"},
+    {"name": "draft-save", "aimS": 2.0, "deadlineS": 8.0, "importance": 2.0, "repeat": "repeatable"},
+]
+PLANS = [
+    {"name": "perus", "unitsPerS": 6.8, "mostAtOnce": 48.0, "beyondCosts": 1.0, "valueFactor": 1.2},
+    {
+        "name": "laaja",
+        "unitsPerS": 60.0,
+        "mostAtOnce": 132.0,
+        "overWorth": 0.1,
+        "valueFactor": 1.8,
+        "capRate": 120.0,
+        "neverOverDepth": 268.0,
+        "tolerance": 28.0,
+    },
+]
 
 
-def write_operators(folder: Path, name: str, ports: dict[str, int]) -> Path:
-    """Write the operators' file of a node."""
-    seeds = "\n".join(f'{other} = "{stand.HOST}:{port}"' for other, port in ports.items())
-    path = folder / f"{name}.toml"
-    path.write_text(f"""[cluster]
-name = "review"
-folder = "{folder / name}"
-listen = "{stand.HOST}:{ports[name]}"
-secret = "of the review"
-voters = {json.dumps(NAMES)}
-[cluster.seeds]
-{seeds}
-""")
-    return path
+def memory_mb(pid: int) -> float:
+    """What a process holds, its files too."""
+    with suppress(OSError):
+        for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+            if line.startswith("VmRSS:"):
+                return int(line.split()[1]) / 1024
+    return 0.0
 
 
 async def case(record: stand.Record, folder: Path) -> bool:
-    counter, server = stand.CountServer(), stand.AppServer(record, "s0")
-    await counter.start()
-    await server.start()
-    ports = {name: stand.free_port() for name in NAMES}
-    nodes: dict[str, stand.Node] = {}
-    for number, name in enumerate(NAMES):
-        agent = stand.Discovery(record, name)
-        await agent.start()
-        agent.set(server.entry())
-        operators = write_operators(folder, name, ports)
-        config: dict[str, Any] = stand.configuration(
-            number, 3, agent.port, counter.port, classes=CLASSES, plans=PLANS, known=agent.page(None)
-        )
-        serve = f"serve --config {folder / name}.json --operators {operators}"
-        nodes[name] = stand.Node(config, folder, f"exec .venv/bin/python -m merlintally {serve}")
-        if (await command(record, "cluster", "init", "--operators", str(operators)))[0]:
-            raise RuntimeError("a folder can't be initialised")
-    machines = folder / "machines.toml"
-    machines.write_text(
-        "".join(
-            f'[[machine]]\nname = "m{number}"\npool = "edge"\nzone = "a"\nedges = ["{name}"]\n'
-            for number, name in enumerate(NAMES)
-        )
+    record.quiet = ("server.got", "client.sent", "client.answered")
+    discovery, counter = stand.Discovery(record, "n0"), stand.CountServer()
+    servers = [stand.AppServer(record, f"s{number}", 0.02) for number in range(10)]
+    for part in (discovery, counter, *servers):
+        await part.start()
+    for server in servers:
+        discovery.set(server.entry())
+    config = stand.configuration(
+        0, 4, discovery.port, counter.port, classes=CLASSES, plans=PLANS, known=discovery.page(None)
     )
-    told = "--operators", str(folder / "n0.toml")
+    config["limits"]["memory_mb"] = MEMORY_MB
+    node = stand.Node(config, folder)
+    node.start()
+    asks = set[asyncio.Task[stand.Sent]]()
+    killed = False
     try:
-        for node in nodes.values():
-            node.start()
-        for node in nodes.values():
-            await node.ready()
-        for _ in range(10):  # until there is a leader
-            if not (await command(record, "work", "machines", *told, str(machines)))[0]:
-                break
-            await asyncio.sleep(1)
-        else:
-            raise RuntimeError("the list of machines wasn't taken")
-        asked = ("--machine", "m2", "--reason", "kernel", "--id", "r-1")
-        if (await command(record, "work", "request", *told, *asked))[0]:
-            raise RuntimeError("the request wasn't taken")
-        if (await command(record, "work", "pause", *told, "r-1"))[0]:
-            raise RuntimeError("the request wasn't paused")
-        await asyncio.sleep(3)  # all have heard of it
-        for name, node in nodes.items() if stand.trouble() else ():
-            node.signal(signal.SIGKILL)
-            node.process.wait()
-            shutil.rmtree(folder / name)
-            killed = stand.now()
-            node.start()
-            await node.ready()
-            record.note("restarted", node=name, ready_after=f"{stand.now() - killed:.3f}")
-        await asyncio.sleep(QUIET_S)
-        known, served = [], []
-        for name, node in nodes.items():
-            where = ("--operators", str(folder / f"{name}.toml"), "--node", name)
-            known.append("r-1" in (await command(record, "work", "status", *where))[1])
-            client = stand.Client(record, node.port)
-            answers = [
-                await client.ask("eligibility", "laaja", 2000, f"{1:016x}", spread=3) for _ in range(5)
-            ]
-            served.append(any(one.answer.startswith(b"$") for one in answers))
-        code, _ = await command(record, "work", "request", *told, "--machine", "m1", "--reason", "disk")
-        if any(node.process.poll() is not None for node in nodes.values()):
-            record.note("node.ended")
+        await node.ready()
+        client = stand.Client(record, node.port)
+        began, sent, once = stand.now(), 0, 0
+        looked = 0.0
+        while (passed := stand.now() - began) < SECONDS:
+            while sent < passed * REQUESTS_PER_S:
+                sent += 1
+                customer = random.randrange(USUAL)
+                if random.random() < ONCE and stand.trouble():
+                    once += 1
+                    customer = 100_000 + once
+                ask = asyncio.create_task(
+                    client.ask("draft-save", "perus", 8000, f"{customer:016x}", spread=4)
+                )
+                asks.add(ask)
+                ask.add_done_callback(asks.discard)
+            if passed - looked >= LOOK_S:
+                looked = passed
+                held = memory_mb(node.process.pid)
+                if int(passed) % 5 == 0:
+                    record.note("memory", mb=f"{held:.1f}", customers_once=once, requests=sent)
+                if held > MEMORY_MB:
+                    record.note("killed", mb=f"{held:.1f}", after=f"{passed:.1f}", customers_once=once)
+                    node.signal(signal.SIGKILL)
+                    killed = True
+                    break
+            await asyncio.sleep(0.005)
+        ended = node.process.poll() is not None
+        if not killed:
+            await asyncio.wait(asks, timeout=10)
+        served = sum(one.answer.startswith(b"$") for one in client.sent)
     finally:
-        for node in nodes.values():
-            node.end()
-    record.note("result", knows_request=known, serves=served, takes_another=code == 0)
-    return all(known) and all(served) and code == 0
+        for ask in asks:
+            ask.cancel()
+        node.end()
+    record.note("result", requests=sent, customers_once=once, served=served, killed=killed, ended=ended)
+    return not killed and not ended
 
 
 stand.run_case(case, HERE)
--- a/review/stand-2/stand.py
+++ b/review/stand-2/stand.py
@@ -45,8 +45,11 @@
 
     def __init__(self, path: Path) -> None:
         self.began, self.file = now(), path.open("w")
+        self.quiet: tuple[str, ...] = ()  # events that are left out, where they are very many
 
     def note(self, what: str, **fields: Any) -> None:
+        if what in self.quiet:
+            return
         details = " ".join(f"{key}={value}" for key, value in fields.items())
         self.file.write(f"{now() - self.began:9.3f} {what} {details}".rstrip() + "\n")
 
